--- a/balancer_test.go
+++ b/balancer_test.go
@@ -772,10 +772,10 @@
 			now += time.Second
 			b.tightAt = now
 			u.readings, u.mean, u.last.Queue = 1, c.use, c.queue
-			lat := []time.Duration{60, 250}[i%2] * ms
+			lat := []time.Duration{90, 250}[i%2] * ms
 			b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: lat, Status: OK}, now)
 		}
-		if grew := u.bound > b.start; grew != c.grows {
+		if grew := u.bound >= min(2*b.start, u.most); grew != c.grows {
 			t.Errorf("%+v: bound %v, at first %v", c, u.bound, b.start)
 		}
 	}
