Let the longest idle connection give way where room is short

A balancer keeps a quarter of its descriptors for upstreams, idle connections included. On ticket9219 all 96 were taken from 5 s on, 50 to 80 of them idle at other upstreams; 1,294 attempts ended unsent as failed connects, and the module spaced out innocent upstreams until two of twelve were used.

Suspected too and ruled out: a leak (idle and out add up to the count) and lingering attempts (1 to 7 of 96).

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"clayladder"
@@ -343,7 +344,7 @@
 	case len(p.idle) > 0:
 		a.conn = p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-	case l.conns >= l.maxConns:
+	case !l.room():
 		a.drop()
 		l.due = append(l.due, owing{a, clayladder.ConnectFailed})
 		return
@@ -427,7 +428,7 @@
 // Probe asks an upstream for its load.
 func (l *loop) Probe(up clayladder.UpstreamID) {
 	p := l.peers[up]
-	if p == nil || p.state != clayladder.Active || (len(p.idle) == 0 && l.conns >= l.maxConns) {
+	if p == nil || p.state != clayladder.Active || (len(p.idle) == 0 && !l.room()) {
 		return
 	}
 	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != clayladder.ReportNone}
@@ -471,6 +472,27 @@
 	}
 }
 
+// room tells whether another connection may be opened. Where all are taken, the one that has idled longest, at
+// whatever upstream, gives way: an attempt that finds no room ends as if its upstream could not be reached.
+func (l *loop) room() bool {
+	if l.conns < l.maxConns {
+		return true
+	}
+	var longest *peer
+	for _, p := range l.peers {
+		if len(p.idle) > 0 && (longest == nil || p.idle[0].idleAt < longest.idle[0].idleAt ||
+			(p.idle[0].idleAt == longest.idle[0].idleAt && p.id < longest.id)) {
+			longest = p
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	l.shut(longest.idle[0])
+	longest.idle = slices.Delete(longest.idle, 0, 1)
+	return true
+}
+
 // shut closes idle connections, away from the loop.
 func (l *loop) shut(cs ...*conn) {
 	if l.conns -= len(cs); len(cs) > 0 {
