Count connections lost together as one failure, and end the wait on an answer

Every failed connect or reset doubled an upstream's wait, so ten at once left it alone for 11 to 22 s, and an answer shortened the next wait but not the one begun.

--- a/balancer.go
+++ b/balancer.go
@@ -236,22 +236,21 @@
 		// One met crowded knows no better of itself. A slow answer alone proves no crowd: work and waits on others
 		// vary by as much. Where the readings say that there is use to spare, the bound grows instead.
 		calm := min(u.calm, cmp.Or(b.calm, u.calm))
-		if u.busy() && per > max(crowded*calm, crowdedShare*aim) {
+		busy := u.readings == 0 || u.mean >= fullUse || u.last.Queue > 0
+		if busy && per > max(crowded*calm, crowdedShare*aim) {
 			b.shrink(u, now, boundCut)
 		} else if u.bound < b.start { // it has had its rest
 			u.bound = b.start
-		} else if !u.busy() && now-b.tightAt < time.Duration(b.lat) {
+		} else if !busy && now-b.tightAt < time.Duration(b.lat) {
 			u.bound = max(u.bound, min(u.bound+boundGrowth, u.most))
 		}
-	case Full:
+	case Full, Timeout:
 		b.shrink(u, now, boundCut*boundCut)
-	case Timeout: // beside use to spare it was lost, not crowded out
-		if u.busy() {
-			b.shrink(u, now, boundCut*boundCut)
-		}
 	case ConnectFailed, Reset: // down, or its connection table is full: ask less often
-		u.freeAt = now + u.wait
-		u.wait = min(u.wait*waitGrowth, b.s.Rules.RampTime)
+		if now >= u.backAt { // once for what was out together
+			u.backAt = now + u.wait
+			u.wait = min(u.wait*waitGrowth, b.s.Rules.RampTime)
+		}
 	}
 	p := b.pause(u) // one left idle has an attempt in hand: requests come by chance
 	u.freeAt = max(u.freeAt, min(now, max(u.freeAt, a.sentAt-p)+now-a.sentAt)+p)
@@ -260,9 +259,6 @@
 	}
 }
 
-// busy tells whether u has no use to spare, as its readings have it; without any it may not.
-func (u *upstream) busy() bool { return u.readings == 0 || u.mean >= fullUse || u.last.Queue > 0 }
-
 // pause is the wait between attempts at u when its bound is under one.
 func (b *Balancer) pause(u *upstream) time.Duration {
 	return time.Duration(max(0, 1/u.bound-1) * cmp.Or(u.lat, b.lat))
@@ -420,14 +416,14 @@
 	}
 }
 
-// answered notes a sign of life.
+// answered notes a sign of life, which ends any wait after failed connects.
 func (b *Balancer) answered(u *upstream, now time.Duration) {
-	u.silent, u.answeredAt, u.wait = false, now, b.tick
+	u.silent, u.answeredAt, u.wait, u.backAt = false, now, b.tick, now
 }
 
 // eligible reports whether u may take r at this turn. The bound is a guard: shares decide below it.
 func (b *Balancer) eligible(u *upstream, r *request, now time.Duration) bool {
-	ok := now >= u.freeAt && float64(len(u.outs)) < max(1, math.Floor(u.bound))
+	ok := now >= u.freeAt && now >= u.backAt && float64(len(u.outs)) < max(1, math.Floor(u.bound))
 	if u.silent { // the safest class goes first as a trial
 		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
 	}
@@ -520,7 +516,7 @@
 		b.byID[e.ID], b.ups = u, append(b.ups, u)
 	}
 	if e.StartedAt > u.StartedAt { // new, or restarted under the same id
-		u.silent, u.freeAt = false, now
+		u.silent, u.freeAt, u.backAt = false, now, now
 		if now-e.StartedAt < b.s.Rules.RampTime {
 			b.chill(u, e.StartedAt)
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -815,3 +815,27 @@
 		t.Errorf("patience %v where answers take 100ms as a rule", p)
 	}
 }
+
+// Ten connections that broke at once made ten doublings of the wait, and a live server was left alone for 20 s
+// although its other answers kept coming.
+func TestConnectionsLostTogetherAreOneFailure(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u, now := b.ups[0], 2*time.Hour
+	lost := func() {
+		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: ms, Status: Reset}, now)
+	}
+	for range 10 {
+		lost()
+	}
+	if wait := u.backAt - now; wait != b.tick {
+		t.Errorf("left alone for %v after ten lost together, want %v", wait, b.tick)
+	}
+	now = u.backAt
+	if lost(); u.backAt-now != waitGrowth*b.tick {
+		t.Errorf("left alone for %v after a later one, want %v", u.backAt-now, waitGrowth*b.tick)
+	}
+	b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 50 * ms, Status: OK}, now)
+	if !b.eligible(u, &request{class: b.classes["write"]}, now) {
+		t.Error("still left alone after an answer")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -51,7 +51,7 @@
 	place                       uint64 // on the ring of all upstreams
 	coldAt, trialAt             time.Duration
 	answeredAt, cutAt, probedAt time.Duration
-	freeAt                      time.Duration // its turns are skipped until then
+	freeAt, backAt              time.Duration // its turns are skipped until then: it rests; it could not be reached
 	wait                        time.Duration // growing wait between trials or failed connects
 	due                         float64       // its next turn, in turns of the whole fleet
 	weight, factor              float64       // size; share left after cuts
