Cut no bound on a time-out beside use to spare

A time-out cut the bound on attempts out as hard as a full queue did. Readings now decide, as for slow answers. A dead server is met by its silence and by failed connects, not by this.

--- a/balancer.go
+++ b/balancer.go
@@ -236,16 +236,19 @@
 		// One met crowded knows no better of itself. A slow answer alone proves no crowd: work and waits on others
 		// vary by as much. Where the readings say that there is use to spare, the bound grows instead.
 		calm := min(u.calm, cmp.Or(b.calm, u.calm))
-		busy := u.readings == 0 || u.mean >= fullUse || u.last.Queue > 0
-		if busy && per > max(crowded*calm, crowdedShare*aim) {
+		if u.busy() && per > max(crowded*calm, crowdedShare*aim) {
 			b.shrink(u, now, boundCut)
 		} else if u.bound < b.start { // it has had its rest
 			u.bound = b.start
-		} else if !busy && now-b.tightAt < time.Duration(b.lat) {
+		} else if !u.busy() && now-b.tightAt < time.Duration(b.lat) {
 			u.bound = max(u.bound, min(u.bound+boundGrowth, u.most))
 		}
-	case Full, Timeout:
+	case Full:
 		b.shrink(u, now, boundCut*boundCut)
+	case Timeout: // beside use to spare it was lost, not crowded out
+		if u.busy() {
+			b.shrink(u, now, boundCut*boundCut)
+		}
 	case ConnectFailed, Reset: // down, or its connection table is full: ask less often
 		if now >= u.backAt { // once for what was out together
 			u.backAt = now + u.wait
@@ -259,6 +262,9 @@
 	}
 }
 
+// busy tells whether u has no use to spare, as its readings have it; without any it may not.
+func (u *upstream) busy() bool { return u.readings == 0 || u.mean >= fullUse || u.last.Queue > 0 }
+
 // pause is the wait between attempts at u when its bound is under one.
 func (b *Balancer) pause(u *upstream) time.Duration {
 	return time.Duration(max(0, 1/u.bound-1) * cmp.Or(u.lat, b.lat))
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -839,3 +839,21 @@
 		t.Error("still left alone after an answer")
 	}
 }
+
+// Attempts whose answers are lost time out at idle servers as at full ones. They once cut the bounds of all, and a
+// fleet that idled was refused to clients.
+func TestTimeoutBesideSpareUseCutsNoBound(t *testing.T) {
+	for _, c := range []struct {
+		readings int
+		use      float64
+		cut      bool
+	}{{bandWindow, 0.2, false}, {bandWindow, 0.95, true}, {0, 0, true}} {
+		b, _ := start(t, settings(), fleet(1))
+		u := b.ups[0]
+		u.readings, u.mean, u.bound = c.readings, c.use, 8
+		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: time.Second, Status: Timeout}, 2*time.Hour)
+		if (u.bound < 8) != c.cut {
+			t.Errorf("%+v: bound %v, 8 before", c, u.bound)
+		}
+	}
+}
