Close the connection of every attempt that is given up

Up to four connections an upstream were kept 3 s for late answers of requests that were over. PROTOCOL has a closed connection as the way to give up an attempt, and upstreams here drop waiting work on it; kept ones let it run. The module's cancels of such attempts now arrive.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -15,12 +15,7 @@
 const (
 	// spareIdle is how long before the upstream would an idle connection is closed: a request written to one that
 	// the upstream has just closed ends as a reset.
-	spareIdle = 5 * time.Second
-	// lingerFor and lingerMost bound the connections of attempts whose client has gone. The upstream works on
-	// regardless, and a connection kept for the late answer saves the next handshake; but hung upstreams never
-	// answer.
-	lingerFor  = 3 * time.Second
-	lingerMost = 4
+	spareIdle  = 5 * time.Second
 	sweepEvery = time.Second
 	logQueue   = 256
 )
@@ -42,12 +37,11 @@
 
 // peer is what the loop knows of an upstream's address and connections.
 type peer struct {
-	id        clayladder.UpstreamID
-	address   string
-	state     clayladder.State
-	idle      []*conn // the most recently used last
-	out       map[*attempt]struct{}
-	lingering int
+	id      clayladder.UpstreamID
+	address string
+	state   clayladder.State
+	idle    []*conn // the most recently used last
+	out     map[*attempt]struct{}
 }
 
 // alarm is a timer of the module's, a request's deadline, or an attempt's time-out.
@@ -237,9 +231,6 @@
 func (e finished) apply(l *loop) {
 	a := e.attempt
 	delete(a.peer.out, a)
-	if a.lingers {
-		a.peer.lingering--
-	}
 	l.keep(a.peer, e.result.conn)
 	l.tell(a, e.result)
 	l.forget(a.peer)
@@ -280,13 +271,7 @@
 	if a.drop() {
 		status = clayladder.Moot
 	} else if a.stage.Load() == claimed {
-		// An attempt of a request that may be sent again gives up its connection, or it would count as a second copy.
-		until := time.Unix(0, 1)
-		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && a.peer.state == clayladder.Active {
-			until, a.lingers = time.Now().Add(lingerFor), true
-			a.peer.lingering++
-		}
-		a.conn.SetReadDeadline(until)
+		a.conn.SetDeadline(time.Unix(0, 1)) // its connection is closed: that tells the upstream to stop, and frees its room
 	}
 	l.tell(a, result{status: status})
 }
@@ -464,7 +449,7 @@
 		l.conns--
 	case p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
 		l.shut(c)
-	case c.SetReadDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
+	case c.SetDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
 		l.shut(c)
 	default:
 		c.idleAt = l.now()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -74,7 +74,6 @@
 	stage   atomic.Int32
 	conn    *conn // read by the loop only once the attempt is claimed
 	told    bool  // the loop: the module has had its outcome
-	lingers bool  // the loop: it is left to its connection for the late answer
 }
 
 // drop keeps an attempt that has not begun to be written from being sent.
