Report an attempt without room as moot, and give upstreams 3/8 of descriptors

Where all connections to upstreams were taken, an attempt ended as a failed connect, and the module spaced out an upstream that nobody had tried. Clients hold a third of the descriptors for requests at the most; of 384, 224 were in use, so upstreams get 144 now.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -108,7 +108,7 @@
 func newLoop(ctx context.Context, c *Config) *loop {
 	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
 		origin: time.Now(), dial: dialer{timeout: c.Links.ConnectTimeout}, settings: c.Settings,
-		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.Sockets / 4,
+		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.Sockets * 3 / 8,
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, peers: map[clayladder.UpstreamID]*peer{},
 		stopWatch: func() {}}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
@@ -331,7 +331,7 @@
 		p.idle = p.idle[:len(p.idle)-1]
 	case !l.room():
 		a.drop()
-		l.due = append(l.due, owing{a, clayladder.ConnectFailed})
+		l.due = append(l.due, owing{a, clayladder.Moot}) // nothing of its upstream's
 		return
 	default:
 		l.conns++
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -58,7 +58,7 @@
 }
 
 // Connections that idled at other upstreams once took all the room there was. Attempts failed unsent, and the
-// module took their upstreams for unreachable.
+// module took their upstreams for unreachable. Where nothing idles an attempt is moot: that is no upstream's fault.
 func TestIdleConnectionGivesWayWhereRoomIsShort(t *testing.T) {
 	one, two, three := newServer(t, okAll), newServer(t, okAll), newServer(t, okAll)
 	l := bench(t, 2)
@@ -74,6 +74,7 @@
 		}
 	}
 	want(t, "attempts unsent", len(l.due), 1) // the third found no room, and nothing idle
+	want(t, "its outcome", l.due[0].status, clayladder.Moot)
 	want(t, "idle", len(older.idle)+len(newer.idle), 0)
 	want(t, "connections", l.conns, 2)
 	c.SetReadDeadline(time.Now().Add(10 * time.Second))
