Give peers 2.5 s for a request and bound the clients' connections

Over the bound, the connection that has been without a request for longest, 2 s at the least, now gives way.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -25,8 +25,13 @@
 	lameDuck = 450 * time.Millisecond
 	// firstBytes is how long the last connection taken then has for beginning its request.
 	firstBytes = 50 * time.Millisecond
-	// slowClient bounds how long a client may take over the head of a request. Body and answer have more.
-	slowClient = 5 * time.Second
+	// slowClient bounds how long a peer may take over a request, silence before the first included: one that sends
+	// none is owed a close within 3 s of connecting.
+	slowClient = 2500 * time.Millisecond
+	// slowAnswer bounds how long a client may take to read its answer.
+	slowAnswer = 10 * time.Second
+	// restful is how long a connection without a request must have been so before it is closed to make room.
+	restful = 2 * time.Second
 )
 
 // answer is what a client gets, once.
@@ -42,48 +47,70 @@
 	classes  map[string]clayladder.Class
 	post     func(event)
 	leaving  atomic.Bool
-	open     atomic.Int64 // client connections
-	maxOpen  int64
+	maxOpen  int
 	longest  time.Duration
 	now      func() time.Duration
 	serving  http.Server
 	listener net.Listener
 	mu       sync.Mutex
-	unused   map[net.Conn]struct{}
+	conns    map[net.Conn]clientConn
+}
+
+// clientConn is what the frontend knows of a client's connection.
+type clientConn struct {
+	state http.ConnState
+	since time.Duration
 }
 
 func newFrontend(c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
 	f := &frontend{classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
-		maxOpen: int64(c.Sockets) / 2, now: now, unused: map[net.Conn]struct{}{}}
+		maxOpen: c.Sockets / 2, now: now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
-	f.serving = http.Server{Handler: f, ReadHeaderTimeout: slowClient, ReadTimeout: 2 * slowClient,
-		WriteTimeout: 2*slowClient + f.longest, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: f.count}
+	f.serving = http.Server{Handler: f, ReadTimeout: slowClient,
+		WriteTimeout: slowClient + f.longest + slowAnswer, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: f.count}
 	return f
 }
 
-// count keeps track of client connections, and of those that have sent nothing yet.
+// count keeps track of client connections. One too many makes room by closing the one that has been without a request
+// for longest, or is closed itself: descriptors must not run out.
 func (f *frontend) count(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if delete(f.unused, c); s == http.StateNew {
-		f.unused[c] = struct{}{}
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(f.conns, c)
+		return
 	}
-	switch s {
-	case http.StateNew:
-		f.open.Add(1)
-	case http.StateClosed:
-		f.open.Add(-1)
+	f.conns[c] = clientConn{s, f.now()}
+	if s != http.StateNew || len(f.conns) <= f.maxOpen {
+		return
+	}
+	victim, since := c, f.now()-restful
+	for other, is := range f.conns {
+		if is.state != http.StateActive && is.since <= since {
+			victim, since = other, is.since
+		}
 	}
+	delete(f.conns, victim) // it is reported as closed only once its goroutine has seen it
+	victim.Close()
+}
+
+// crowded tells whether connections are so many that each should close after its answer.
+func (f *frontend) crowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns) > f.maxOpen*7/8
 }
 
 // closeUnused closes the connections that have sent nothing. Shutdown would wait for them.
 func (f *frontend) closeUnused() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.unused {
-		c.Close()
+	for c, is := range f.conns {
+		if is.state == http.StateNew {
+			c.Close()
+		}
 	}
 }
 
@@ -113,7 +140,7 @@
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// What is closed after its answer can't be in use when the listener goes; and where connections are many, new
 	// clients need their descriptors.
-	if f.leaving.Load() || f.open.Load() > f.maxOpen {
+	if f.leaving.Load() || f.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := framed(r); err != nil { // nothing behind it on its connection is read
--- /dev/null
+++ b/internal/proxy/frontend_test.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A peer that is silent, or stops halfway, is owed an error or a close within 3 s of connecting. It had 5 s for the head
+// and 10 s for the rest, and each held a descriptor as long.
+func TestSlowPeersAreLetGo(t *testing.T) {
+	if slowClient >= 3*time.Second {
+		t.Errorf("peers have %v", slowClient)
+	}
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	const head = "POST /checkin HTTP/1.1\r\nHost: x\r\nX-Request-Id: 00000000000000aa\r\nX-Class: checkin\r\n"
+	ends := map[string]chan error{}
+	for _, sent := range []string{"", "PO", head, head + "Content-Length: 9\r\n\r\nbody"} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(2 * slowClient)) // only a failure takes as long
+		if _, err := io.WriteString(c, sent); err != nil {
+			t.Fatal(err)
+		}
+		end := make(chan error, 1)
+		ends[sent] = end
+		go func() {
+			_, err := io.Copy(io.Discard, c)
+			end <- err
+		}()
+	}
+	for sent, end := range ends {
+		if err := <-end; err != nil {
+			t.Errorf("after %q: %v, want a close", sent, err)
+		}
+	}
+	want(t, "requests at the upstream", len(s.arrivals), 0)
+}
+
+// Connections over the bound make room by closing those without a request, the longest so first, and only where
+// none has been so for long are closed themselves. Peers that sent nothing once held descriptors without a bound.
+func TestClientConnectionsAreBounded(t *testing.T) {
+	now := time.Hour
+	f := newFrontend(&Config{Sockets: 6}, nil, nil, func() time.Duration { return now })
+	open := func(s http.ConnState) net.Conn {
+		c, peer := net.Pipe()
+		t.Cleanup(func() { c.Close(); peer.Close() })
+		f.count(c, http.StateNew)
+		if s != http.StateNew {
+			f.count(c, s)
+		}
+		return c
+	}
+	closed := func(c net.Conn) bool { return c.SetDeadline(time.Time{}) != nil }
+	busy := open(http.StateActive)
+	now += time.Second
+	idle := open(http.StateIdle)
+	now += time.Second
+	silent := open(http.StateNew)
+	now += restful
+	first := open(http.StateActive) // one too many: idle has been so for longest
+	second := open(http.StateActive)
+	third := open(http.StateActive) // nobody is left to make room
+	for name, c := range map[string]struct {
+		net.Conn
+		closed bool
+	}{"busy": {busy, false}, "idle": {idle, true}, "silent": {silent, true}, "first": {first, false},
+		"second": {second, false}, "third": {third, true}} {
+		want(t, name+" closed", closed(c.Conn), c.closed)
+	}
+}
