Notice a silent discovery before its news counts as told

A watch call waited 10 s and gave up 13 s after it began; what discovery has to tell counts as told 2 s after the wait, so for a second a balancer could send to an upstream that it counts as told is draining. Calls now wait 2 s and give up at 3 s. After failures the module spaced calls by up to 7.5 s where all counts as told after 6 s; by 1.9 s at the most now. The agent is on the balancer's own machine: calls cost nothing.

--- a/balancer.go
+++ b/balancer.go
@@ -490,7 +490,8 @@
 // Members takes what discovery says of the upstreams.
 func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
 	if mode == ListFailed { // ask again, later each time and never all instances at once
-		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/2)
+		// What discovery tells counts as told some seconds later, heard or not, so calls stay close.
+		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/8)
 		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
 		b.host.SetTimer(wait, watchToken)
 		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -293,6 +293,18 @@
 		}
 		last = b.watchWait
 	}
+	var longest time.Duration
+	h.hook = func(kind string, _ RequestID, _ UpstreamID, d time.Duration, n uint64) {
+		if kind == "timer" && n == watchToken {
+			longest = max(longest, d)
+		}
+	}
+	for range 50 { // waits once grew to 7.5 s, when what was to tell had counted as told for a second and a half
+		b.Members(time.Hour, ListFailed, nil)
+	}
+	if most := s.Rules.AskWithin / 5; longest == 0 || longest > most {
+		t.Errorf("waits of up to %v, want %v at the most", longest, most)
+	}
 	b.Timer(time.Hour, watchToken)
 	if h.count("watch") != 2 || len(b.ups) != 1 {
 		t.Error("did not ask again, or lost the list")
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	watchWait    = 10 * time.Second // how long one watch call may wait for news
-	callPatience = 3 * time.Second  // and how much later its answer may come
+	// watchWait is how long one watch call may wait for news, and callPatience how much later its answer may come. What
+	// is to tell counts as told 2 s after the wait, and silence must have been noticed before: a longer wait keeps a
+	// balancer longer with an agent that has gone silent.
+	watchWait    = 2 * time.Second
+	callPatience = 1 * time.Second
 	// watchPause is the least time from one watch call to the next: an agent that answers at once must not keep the
 	// core busy. Discovery takes a call 200 ms after the last answer for a new watch.
 	watchPause = 100 * time.Millisecond
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -548,6 +548,17 @@
 	want(t, "requests at the new one's upstream", len(two.arrivals), 1)
 }
 
+// What an agent has to tell counts as told 2 s after the wait of a call, also where the agent has gone silent. The
+// silence was noticed a second after that: until then a draining upstream would have got requests.
+func TestSilentDiscoveryIsAskedAgain(t *testing.T) {
+	if callPatience >= 2*time.Second {
+		t.Errorf("an answer may come %v after its wait", callPatience)
+	}
+	b := newBalancer(t)
+	<-b.registry.calls
+	<-b.registry.calls
+}
+
 // A failed call is told to the module, which asks again in its own time.
 func TestAsksAgainAfterAFailure(t *testing.T) {
 	s := newServer(t, okAll)
