--- a/balancer.go
+++ b/balancer.go
@@ -130,11 +130,15 @@
 
 // place sends r if a turn allows it, holds it if one may come free in time, and otherwise ends it.
 func (b *Balancer) place(r *request, now time.Duration) {
-	switch u, legal := b.pick(r, now); {
+	u, legal := b.pick(r, now)
+	if u == nil && legal { // also where it can't be held: bounds once stayed low beside refusals
+		b.tightAt = now
+	}
+	switch {
 	case u != nil:
 		b.send(r, u, now)
 	case (legal || len(r.attempts) == 0) && now < r.sendBy: // most worth first, then the newest
-		r.held, b.tightAt = true, now
+		r.held = true
 		b.held = slices.Insert(b.held, 0, r)
 		slices.SortStableFunc(b.held, func(x, y *request) int { return cmp.Compare(y.worth, x.worth) })
 	default:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -869,3 +869,23 @@
 		}
 	}
 }
+
+// Where a class's latency is near half its aim, a request that finds no turn can't be held and is refused at once. Only
+// held ones once counted as short turns, so bounds stayed low beside such refusals and idle servers.
+func TestRefusalAtOnceCountsAsShortTurns(t *testing.T) {
+	b, h := start(t, settings(), fleet(1))
+	u, now := b.ups[0], 2*time.Hour
+	b.classes["read"].lat = float64(200 * ms)
+	u.freeAt = 0
+	for id := range RequestID(2) {
+		b.Request(now, Request{ID: id + 1, Class: "read", Budget: time.Second})
+	}
+	if h.count("send") != 1 || h.count("refuse") != 1 {
+		t.Fatalf("want one sent and one refused: %v", h.lines)
+	}
+	u.readings, u.mean = 1, 0.3
+	b.Outcome(now+50*ms, Outcome{ID: 1, Upstream: u.ID, Latency: 50 * ms, Status: OK, Closed: true})
+	if u.bound != b.start+boundGrowth {
+		t.Errorf("bound %v after an answer beside a refusal, want %v", u.bound, b.start+boundGrowth)
+	}
+}
