Take four readings into a window, not eight

A window is a moving mean of readings, and reports come once a second or less often: eight span a whole burst (3.6 to 8.9 s), so use was taken as full or spare long after it was. No test asks for a number of readings: TestBands and the tests of areas hold for both.

--- a/balancer.go
+++ b/balancer.go
@@ -13,7 +13,7 @@
 
 // Constants. Those without a unit are ratios.
 const (
-	bandWindow            = 8           // N: readings in an upstream's moving window
+	bandWindow            = 4           // N: readings in an upstream's moving window
 	bandAlpha             = 2.0         // α: half the band gap in standard deviations, as usual for these bands
 	bandPeriod            = time.Second // the band gap is integrated over it, then shares move
 	areaFloor             = 0.4         // areas below it are noise: a deviation of a tenth of full use
