Tell refused clients to come back after a tick, where the settings allow it

Refusals carried no Retry-After, so clients came back at once to the same full turns. Held requests are looked at again each tick, so that is the advice. The answer itself goes out at once as before.

--- a/balancer.go
+++ b/balancer.go
@@ -164,12 +164,21 @@
 // giveUp gives the final answer to a request that is not served.
 func (b *Balancer) giveUp(r *request) {
 	if b.finish(r, -1); b.mayRefuse(r) {
-		b.host.Refuse(r.ID, 0)
+		b.host.Refuse(r.ID, b.comeBack())
 	} else {
 		b.host.Fail(r.ID)
 	}
 }
 
+// comeBack is the wait that a refused client is advised: turns are looked at again after a tick. A longer
+// one would take the aim of most who follow it.
+func (b *Balancer) comeBack() time.Duration {
+	if !b.s.Limits.RetryAfter {
+		return 0
+	}
+	return min(b.tick, b.s.Limits.MaxRetry)
+}
+
 // finish notes that r has its answer, or its stream from attempt n, and stops what else is out.
 func (b *Balancer) finish(r *request, n int) {
 	for i, a := range r.attempts {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -889,3 +889,22 @@
 		t.Errorf("bound %v after an answer beside a refusal, want %v", u.bound, b.start+boundGrowth)
 	}
 }
+
+// A refused client was told nothing, and came back at once to the same full turns.
+func TestRefusedClientIsToldWhenToComeBack(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		s := settings()
+		s.Limits.RetryAfter, s.Limits.MaxRetry = allowed, time.Second
+		b, h := start(t, s, nil)
+		var advice time.Duration
+		h.hook = func(kind string, _ RequestID, _ UpstreamID, d time.Duration, _ uint64) {
+			if kind == "refuse" {
+				advice = d
+			}
+		}
+		b.Request(time.Hour, Request{ID: 1, Class: "read", Budget: ms}) // too short to wait for anybody
+		if h.count("refuse") != 1 || (advice > 0) != allowed {
+			t.Errorf("allowed %v: advised %v by %v", allowed, advice, h.lines)
+		}
+	}
+}
