Bound what an upstream's answer may come to

Bodies were bounded, but a head, or 1xx answers before it, could go on until the deadline and fill the memory: two cases in TestOutcomes with 2 MB of either were served before. Such an answer can't be read as the protocol requires, so it is a failed attempt that may have run.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -321,6 +321,8 @@
 		{"closed without an answer", raw("", false), clayladder.Reset, false},
 		{"cut short", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", false), clayladder.Reset, false},
 		{"cut short in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false), clayladder.Reset, false},
+		{"a head of 2 MB", raw("HTTP/1.1 200 OK\r\n"+strings.Repeat("X-Pad: "+strings.Repeat("x", 1000)+"\r\n", 2000)+"Content-Length: 2\r\n\r\nab", false), clayladder.Reset, false},
+		{"1xx on and on", raw(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 80000)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false), clayladder.Reset, false},
 		{"no HTTP", raw("what?\r\n\r\n", false), clayladder.Reset, false},
 		{"too large", raw("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", true), clayladder.Error, false},
 		{"too large in chunks", raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+strings.Repeat("x", maxBody+1), false), clayladder.Error, false},
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -27,10 +27,15 @@
 // loop; nobody else touches it.
 type conn struct {
 	net.Conn
-	in     *bufio.Reader
-	idleAt time.Duration // on the loop's clock
+	limit  *io.LimitedReader // what one answer may still come to
+	in     *bufio.Reader     // reads from limit
+	idleAt time.Duration     // on the loop's clock
 }
 
+// maxAnswer bounds an answer with its head, its framing and what comes before it: an upstream that goes on and on must
+// not fill the memory.
+const maxAnswer = 8 * maxBody
+
 // errStale says that a kept connection was closed by the other side while idle.
 var errStale = errors.New("closed while idle")
 
@@ -103,7 +108,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, in: bufio.NewReaderSize(c, 2<<10)}, nil
+	limit := &io.LimitedReader{R: c, N: maxAnswer}
+	return &conn{Conn: c, limit: limit, in: bufio.NewReaderSize(limit, 2<<10)}, nil
 }
 
 // run makes the attempt: at most one write on the wire, whatever happens.
@@ -156,6 +162,7 @@
 
 // read reads one message whole.
 func (c *conn) read() (*http.Response, []byte, error) {
+	c.limit.N = maxAnswer
 	resp, err := http.ReadResponse(c.in, nil)
 	for err == nil && resp.StatusCode < http.StatusOK { // 1xx come before the answer
 		resp, err = http.ReadResponse(c.in, nil)
