Answer operators at a management address, and drain on their call

Design: internal/management owns a second listener; one line a connection, one answer. It asks the proxy through an interface of two methods that read and set atomics, so no answer waits for the event loop. At most 16 connections, 2 s each; one more closes the one open for longest. Drain is a state of the frontend: healthz says no, answers close their connection, and from 0.5 s on idle connections are closed every 0.1 s; the listener stays, and drain-off undoes it all.

Not taken: stop and start of the listener as SIGTERM does it, since a client that comes all the same would be refused; calls as events of the loop, since an answer is owed in 1 s under any load.

Seen: "node n0 was told to drain, and 4 s later clients were still sent to it" (nobody listened). Ruled out: a lost request in the loop; the log shows no drain at all.

--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"clayladder/internal/management"
 	"clayladder/internal/proxy"
 )
 
@@ -42,15 +43,40 @@
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
+	balancer := proxy.New(c, listener)
+	if c.Management != "" {
+		operators, err := net.Listen("tcp", c.Management)
+		if err != nil {
+			return fmt.Errorf("listening for operators: %w", err)
+		}
+		defer manage(operators, balancer)()
+	}
 	moves := make(chan string)
 	go reload(ctx, reloads, moves)
-	if err := proxy.Run(ctx, c, listener, moves); err != nil {
+	if err := balancer.Run(ctx, moves); err != nil {
 		return err
 	}
 	slog.Info("stopped", "name", c.Name)
 	return nil
 }
 
+// manage answers operators' calls until the function that it returns is called, which waits for their end. They are
+// answered while clients are sent away, too.
+func manage(operators net.Listener, balancer *proxy.Proxy) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := management.Serve(ctx, operators, balancer); err != nil {
+			slog.Error("operators are not answered any more", "err", err)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // reload passes on the address of discovery at each signal until ctx ends. A file that can't be read changes nothing.
 func reload(ctx context.Context, signals <-chan os.Signal, moves chan<- string) {
 	for {
--- a/cmd/olivearch/main_test.go
+++ b/cmd/olivearch/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -149,6 +150,42 @@
 	p.end(t)
 }
 
+// Operators reach the program at the second address it is given, and it still ends on SIGTERM during a drain.
+func TestOperatorsCall(t *testing.T) {
+	operators := free(t)
+	t.Setenv("RELAY_MANAGEMENT", operators)
+	p := begin(t, free(t))
+	for _, x := range []struct{ call, answer string }{{"check", "YES serving"}, {"drain-on", "YES draining"}, {"check", "YES draining"}} {
+		c, err := net.Dial("tcp", operators)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintln(c, x.call)
+		answer, err := io.ReadAll(c)
+		c.Close()
+		if err != nil || string(answer) != x.answer+"\n" {
+			t.Errorf("%s: got %q, %v", x.call, answer, err)
+		}
+	}
+	p.end(t)
+}
+
+// An address that is taken ends the start with one plain message.
+func TestTakenManagementAddressSaysWhy(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := &started{Cmd: program(t), path: filepath.Join(t.TempDir(), "config.json")}
+	p.configure(t, free(t), free(t))
+	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.path, "RELAY_MANAGEMENT="+l.Addr().String())
+	out, err := p.CombinedOutput()
+	if p.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), "listening for operators") || strings.Contains(string(out), "panic") {
+		t.Errorf("got %v, %s", err, out)
+	}
+}
+
 func TestBadStartSaysWhy(t *testing.T) {
 	cmd := program(t)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG=")
--- /dev/null
+++ b/internal/management/management_test.go
@@ -0,0 +1,161 @@
+package management
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fake is a balancer that notes what it is asked.
+type fake struct {
+	mu     sync.Mutex
+	ready  bool
+	drains []bool
+}
+
+func (f *fake) Ready() (bool, string) {
+	if f.ready {
+		return true, "serving"
+	}
+	return false, "starting"
+}
+
+func (f *fake) Drain(on bool) (bool, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drains = append(f.drains, on)
+	return true, "noted"
+}
+
+// serve answers calls for a balancer until the test ends.
+func serve(t *testing.T, b Balancer) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, l, b) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second)) // only a failure takes as long
+	return c
+}
+
+// call sends bytes and returns all that comes back until the close.
+func call(t *testing.T, addr, text string) string {
+	t.Helper()
+	c := dial(t, addr)
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	return string(answer)
+}
+
+func TestEachCallGetsItsAnswer(t *testing.T) {
+	b := &fake{ready: true}
+	addr := serve(t, b)
+	for _, c := range []struct{ sent, answer string }{
+		{"check\n", "YES serving\n"},
+		{"check\r\n", "YES serving\n"},
+		{"drain-on\n", "YES noted\n"},
+		{"drain-on\n", "YES noted\n"},
+		{"drain-off\n", "YES noted\n"},
+		{"check\ncheck\n" + strings.Repeat("more\n", 1000), "YES serving\n"}, // one line to a connection
+		{"\n", "NO "},
+		{"CHECK\n", "NO "},
+		{"check now\n", "NO "},
+		{"drain-on", "NO "}, // no whole line comes: it may have gone on
+		{"\x00\xff\x16\x03\x01\n", "NO "},
+		{strings.Repeat("x", 100_000), "NO "},
+		{strings.Repeat("check", maxLine) + "\n", "NO "},
+	} {
+		got := call(t, addr, c.sent)
+		if !strings.HasPrefix(got, c.answer) || strings.Count(got, "\n") != 1 {
+			t.Errorf("%.40q: got %q, want one line %q", c.sent, got, c.answer)
+		}
+	}
+	if got := b.drains; len(got) != 3 || !got[0] || !got[1] || got[2] {
+		t.Errorf("drains asked for: %v", got)
+	}
+}
+
+func TestNotReadyIsNo(t *testing.T) {
+	if got := call(t, serve(t, &fake{}), "check\n"); got != "NO starting\n" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Callers that hold a connection with half a call or none neither delay an answer nor add up: the one that has done so
+// for longest gives way.
+func TestHoldersGiveWay(t *testing.T) {
+	addr := serve(t, &fake{ready: true})
+	first := dial(t, addr)
+	if _, err := io.WriteString(first, "che"); err != nil {
+		t.Fatal(err)
+	}
+	for range 4 * maxCallers {
+		dial(t, addr)
+	}
+	if got := call(t, addr, "check\n"); got != "YES serving\n" {
+		t.Errorf("got %q", got)
+	}
+	// It was closed to make room, so no answer comes: one whose time had run out would get a NO.
+	if text, err := io.ReadAll(first); len(text) > 0 {
+		t.Errorf("the longest holder got %q, %v", text, err)
+	}
+}
+
+// A caller that holds its connection is let go by itself.
+func TestSilentCallerIsLetGo(t *testing.T) {
+	c := dial(t, serve(t, &fake{ready: true}))
+	if text, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(text), "NO ") {
+		t.Errorf("got %q, %v", text, err)
+	}
+}
+
+func TestServeEndsWithItsCallers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, l, &fake{}) }()
+	call(t, l.Addr().String(), "check\n")
+	held := dial(t, l.Addr().String())
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if _, err := io.ReadAll(held); err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -24,21 +24,24 @@
 	Name      string
 	Listen    string // host:port for clients
 	Discovery string // host:port of discovery
-	Seed      uint64
-	MemoryMB  int
-	Sockets   int
-	Known     listing // the upstreams as last held, maybe stale
-	Settings  clayladder.Settings
-	Links     wire.Links
+	// Management is the host:port for the operators' calls. Empty: there is none.
+	Management string
+	Seed       uint64
+	MemoryMB   int
+	Sockets    int
+	Known      listing // the upstreams as last held, maybe stale
+	Settings   clayladder.Settings
+	Links      wire.Links
 }
 
 // file is the configuration file's form.
 type file struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Management string `json:"management"`
+	Seed       string `json:"seed"`
+	Limits     struct {
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
@@ -52,7 +55,8 @@
 	if err != nil {
 		return Config{}, err
 	}
-	for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen, "RELAY_DISCOVERY": &f.Discovery} {
+	for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen, "RELAY_DISCOVERY": &f.Discovery,
+		"RELAY_MANAGEMENT": &f.Management} {
 		if v := getenv(name); v != "" {
 			*to = v
 		}
@@ -94,7 +98,7 @@
 
 // config checks what was read.
 func (f *file) config() (Config, error) {
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
 	var err error
 	if _, err = netip.ParseAddrPort(c.Listen); err != nil {
@@ -103,6 +107,11 @@
 	if _, err = netip.ParseAddrPort(c.Discovery); err != nil {
 		return c, fmt.Errorf("discovery: %w", err)
 	}
+	if c.Management != "" {
+		if _, err = netip.ParseAddrPort(c.Management); err != nil {
+			return c, fmt.Errorf("management: %w", err)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -39,6 +39,22 @@
 	want(t, "known", c.Known.Revision, uint64(41))
 	want(t, "keep-alive", c.Links.KeepAlive, time.Minute)
 	want(t, "classes", len(c.Settings.Classes), 3)
+	want(t, "management", c.Management, "") // none given, none opened
+}
+
+// What the environment says of the operators' address goes before the file.
+func TestManagementAddress(t *testing.T) {
+	text := strings.Replace(configText, `"name"`, `"management":"127.0.0.1:9000","name"`, 1)
+	for _, x := range []struct{ env, want string }{{"", "127.0.0.1:9000"}, {"127.0.0.1:9001", "127.0.0.1:9001"}} {
+		c, err := load(t, text, map[string]string{"RELAY_MANAGEMENT": x.env})
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "management", c.Management, x.want)
+	}
+	if _, err := load(t, configText, map[string]string{"RELAY_MANAGEMENT": "9000"}); err == nil || !strings.Contains(err.Error(), "management") {
+		t.Errorf("a bad one: got %v", err)
+	}
 }
 
 func TestConfigNamesWhatIsWrong(t *testing.T) {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -30,6 +30,11 @@
 	slowClient = 2500 * time.Millisecond
 	// slowAnswer bounds how long a client may take to read its answer.
 	slowAnswer = 10 * time.Second
+	// drainRest is how long after the operators' call idle connections stay open: the health check is asked every 0.1 s
+	// and new connections come for 0.2 s more, so what is closed sooner would come back here.
+	drainRest = 500 * time.Millisecond
+	// drainSweep is how often a draining balancer looks for idle connections.
+	drainSweep = 100 * time.Millisecond
 	// restful is how long a connection without a request must have been so before it is closed to make room.
 	restful = 2 * time.Second
 )
@@ -44,9 +49,11 @@
 
 // frontend takes requests from clients, hands them to the loop and writes its answers.
 type frontend struct {
+	life     context.Context // ends what the frontend has started
 	classes  map[string]clayladder.Class
 	post     func(event)
 	leaving  atomic.Bool
+	draining atomic.Bool
 	maxOpen  int
 	longest  time.Duration
 	now      func() time.Duration
@@ -54,6 +61,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]clientConn
+	undrain  context.CancelFunc // ends the closing of idle connections; nil: not draining
 }
 
 // clientConn is what the frontend knows of a client's connection.
@@ -62,8 +70,8 @@
 	since time.Duration
 }
 
-func newFrontend(c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
-	f := &frontend{classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
+func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
+	f := &frontend{life: life, classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
 		maxOpen: c.Sockets / 2, now: now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
@@ -103,6 +111,54 @@
 	return len(f.conns) > f.maxOpen*7/8
 }
 
+// drain sends clients away, or takes them again: the health check says no, answers close their connections, and what
+// idles is closed once no more come. The listener stays, for clients that come all the same.
+func (f *frontend) drain(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if on == (f.undrain != nil) {
+		return
+	}
+	f.draining.Store(on)
+	if !on {
+		f.undrain()
+		f.undrain = nil
+		return
+	}
+	ctx, cancel := context.WithCancel(f.life)
+	f.undrain = cancel
+	go f.empty(ctx)
+}
+
+// empty closes idle connections from drainRest on until ctx ends.
+func (f *frontend) empty(ctx context.Context) {
+	rest, sweep := time.After(drainRest), time.NewTicker(drainSweep)
+	defer sweep.Stop()
+	select {
+	case <-rest:
+	case <-ctx.Done():
+	}
+	for ctx.Err() == nil {
+		f.closeIdle(drainRest)
+		select {
+		case <-sweep.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// closeIdle closes the connections between requests, and those that have sent nothing for so long.
+func (f *frontend) closeIdle(silent time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for c, is := range f.conns {
+		if is.state == http.StateIdle || (is.state == http.StateNew && now-is.since >= silent) {
+			c.Close()
+		}
+	}
+}
+
 // closeUnused closes the connections that have sent nothing. Shutdown would wait for them.
 func (f *frontend) closeUnused() {
 	f.mu.Lock()
@@ -140,7 +196,7 @@
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// What is closed after its answer can't be in use when the listener goes; and where connections are many, new
 	// clients need their descriptors.
-	if f.leaving.Load() || f.crowded() {
+	if f.leaving.Load() || f.draining.Load() || f.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := framed(r); err != nil { // nothing behind it on its connection is read
@@ -187,6 +243,10 @@
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
 	}
+	if f.draining.Load() {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
 	turned := make(turn)
 	f.post(turned)
 	<-turned
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -135,6 +135,7 @@
 // balancer is a running balancer.
 type balancer struct {
 	url      string
+	proxy    *Proxy
 	registry *registry
 	cancel   context.CancelFunc
 	moves    chan string
@@ -159,7 +160,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), moves: make(chan string),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
-	go func() { b.ended <- Run(ctx, c, l, b.moves) }()
+	b.proxy = New(c, l)
+	go func() { b.ended <- b.proxy.Run(ctx, b.moves) }()
 	t.Cleanup(func() {
 		b.client.CloseIdleConnections()
 		cancel()
