Report figures at vars, counted where the facts occur

Design: internal/metrics holds atomic counters and gauges with their text form. An attempt counts when its last byte is written (dialer), a request when its one answer is written (frontend), in_progress around that; known and skipped upstreams are told by the module's new Listed and published by the loop every 200 ms, so vars waits for nobody. Avoided are listed upstreams that drain, are silent or wait after a failed connect; those outside this balancer's subset are merely unused.

Not taken: a well-kept metrics library; it brings a registry, histograms and an HTTP handler for five names. Counting in the loop: it does not see when an answer has been written.

--- a/balancer.go
+++ b/balancer.go
@@ -440,6 +440,20 @@
 	u.silent, u.answeredAt, u.wait, u.backAt = false, now, b.tick, now
 }
 
+// Listed tells how many upstreams the list holds, and how many of them get nothing now but trials: those that drain,
+// have fallen silent or could not be reached.
+func (b *Balancer) Listed(now time.Duration) (known, skipped int) {
+	for _, u := range b.ups {
+		if u.State == Gone {
+			continue
+		}
+		if known++; u.State == Draining || u.silent || now < u.backAt {
+			skipped++
+		}
+	}
+	return known, skipped
+}
+
 // eligible reports whether u may take r at this turn. The bound is a guard: shares decide below it.
 func (b *Balancer) eligible(u *upstream, r *request, now time.Duration) bool {
 	ok := now >= u.freeAt && now >= u.backAt && float64(len(u.outs)) < max(1, math.Floor(u.bound))
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -903,3 +903,31 @@
 		}
 	}
 }
+
+// The operators' figure of upstreams that are avoided: those that drain, are silent or could not be reached, until they
+// answer again. What has left the list is no part of it.
+func TestListedTellsWhatIsAvoided(t *testing.T) {
+	list := fleet(4)
+	list[3].State = Draining
+	b, _ := start(t, settings(), list)
+	is := func(what string, now time.Duration, known, skipped int) {
+		t.Helper()
+		if k, s := b.Listed(now); k != known || s != skipped {
+			t.Errorf("%s: %d listed, %d avoided, want %d and %d", what, k, s, known, skipped)
+		}
+	}
+	now := time.Hour
+	is("a drain", now, 4, 1)
+	serve(t, b, now, 1)
+	b.Request(now, Request{ID: 2, Class: "read", Budget: time.Second})
+	u := b.requests[2].attempts[0].up
+	b.Outcome(now, Outcome{ID: 2, Upstream: u.ID, Latency: ms, Status: ConnectFailed})
+	is("a failed connect", now, 4, 2)
+	is("its wait over", u.backAt, 4, 1)
+	u.silent = true
+	is("silence", u.backAt, 4, 2)
+	b.answered(u, now)
+	is("an answer", now, 4, 1)
+	b.Members(now, ListDelta, []Upstream{{ID: list[3].ID, State: Gone}})
+	is("it has left", now, 3, 0)
+}
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -1,5 +1,5 @@
-// Package management is the operators' address: a connection carries one call, a line, and gets one answer, which
-// begins with YES or NO. It knows the balancer only by what a call asks of it.
+// Package management is the operators' address: a connection carries one call, a line, and gets one answer: a line
+// that begins with YES or NO, or for vars the figures and a line END. It knows the balancer only by what a call asks of it.
 package management
 
 import (
@@ -33,6 +33,8 @@
 type Balancer interface {
 	// Ready tells whether clients are taken; state says more, in a few words.
 	Ready() (ready bool, state string)
+	// WriteFigures writes the figures, one to a line.
+	WriteFigures(w io.Writer) error
 	// Drain begins to empty the balancer, or ends that; state says what it does from now on. Repeating it is harmless.
 	Drain(on bool) (done bool, state string)
 }
@@ -136,6 +138,12 @@
 	switch call {
 	case "check":
 		return verdict(s.balancer.Ready())
+	case "vars":
+		var b strings.Builder
+		if err := s.balancer.WriteFigures(&b); err != nil {
+			return "NO " + err.Error() + "\n"
+		}
+		return b.String() + "END\n"
 	case "drain-on":
 		slog.Info("operators drain the balancer")
 		return verdict(s.balancer.Drain(true))
@@ -143,7 +151,7 @@
 		slog.Info("operators end the drain")
 		return verdict(s.balancer.Drain(false))
 	}
-	return "NO the calls are check, drain-on and drain-off\n"
+	return "NO the calls are check, vars, drain-on and drain-off\n"
 }
 
 func verdict(yes bool, state string) string {
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -31,6 +31,11 @@
 	return true, "noted"
 }
 
+func (f *fake) WriteFigures(w io.Writer) error {
+	_, err := io.WriteString(w, "svc_a 1\nsvc_b 2\n")
+	return err
+}
+
 // serve answers calls for a balancer until the test ends.
 func serve(t *testing.T, b Balancer) string {
 	t.Helper()
@@ -98,6 +103,9 @@
 			t.Errorf("%.40q: got %q, want one line %q", c.sent, got, c.answer)
 		}
 	}
+	if got, want := call(t, addr, "vars\n"), "svc_a 1\nsvc_b 2\nEND\n"; got != want {
+		t.Errorf("vars: got %q, want %q", got, want)
+	}
 	if got := b.drains; len(got) != 3 || !got[0] || !got[1] || got[2] {
 		t.Errorf("drains asked for: %v", got)
 	}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,51 @@
+package metrics
+
+import (
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+)
+
+func TestText(t *testing.T) {
+	var s Set
+	passed := s.Counter("svc_passed", Label{"category", "plan-trip"})
+	s.Counter("svc_passed", Label{"category", `odd "one"`}, Label{"zone", "z"})
+	open := s.Gauge("svc_in_progress")
+	listed := s.Gauge("svc_known_upstreams")
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 100 {
+				passed.Add()
+				open.Add(2)
+				open.Add(-1)
+			}
+		})
+	}
+	all.Wait()
+	listed.Set(12)
+	listed.Set(11)
+	var b strings.Builder
+	if err := s.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	want := "svc_passed{category=\"plan-trip\"} 800\nsvc_passed{category=\"odd \\\"one\\\"\",zone=\"z\"} 0\n" +
+		"svc_in_progress 800\nsvc_known_upstreams 11\n"
+	if b.String() != want {
+		t.Errorf("got\n%swant\n%s", b.String(), want)
+	}
+}
+
+type broken struct{ error }
+
+func (b broken) Write([]byte) (int, error) { return 0, b.error }
+
+func TestWriteSaysWhatFailed(t *testing.T) {
+	var s Set
+	s.Gauge("g")
+	gone := errors.New("gone")
+	if err := s.Write(broken{gone}); !errors.Is(err, gone) {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/proxy/figures.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/metrics"
+)
+
+// publishEvery is how often the loop tells the gauges that only it knows.
+const publishEvery = 200 * time.Millisecond
+
+// figures is what the balancer reports to its operators. Each count is taken where the fact occurs.
+type figures struct {
+	set        metrics.Set
+	classes    map[string]outcomes
+	tries      *metrics.Counter // attempts written whole to upstreams
+	inProgress *metrics.Gauge   // requests taken and not ended
+	known      *metrics.Gauge   // upstreams in the list
+	skipped    *metrics.Gauge   // those of them that the module avoids
+}
+
+// outcomes counts the requests of a class by their one final answer.
+type outcomes struct{ passed, dropped, badGateway *metrics.Counter }
+
+func newFigures(classes []clayladder.Class) *figures {
+	f := &figures{classes: map[string]outcomes{}}
+	for _, c := range classes {
+		category := metrics.Label{Name: "category", Value: c.Name}
+		f.classes[c.Name] = outcomes{f.set.Counter("svc_passed", category), f.set.Counter("svc_dropped", category),
+			f.set.Counter("svc_bad_gateway", category)}
+	}
+	f.tries = f.set.Counter("svc_upstream_tries")
+	f.inProgress = f.set.Gauge("svc_in_progress")
+	f.known = f.set.Gauge("svc_known_upstreams")
+	f.skipped = f.set.Gauge("svc_skipped_upstreams")
+	return f
+}
+
+// answered counts a request under the answer it got.
+func (f *figures) answered(class string, status int) {
+	switch o := f.classes[class]; status {
+	case http.StatusOK:
+		o.passed.Add()
+	case http.StatusServiceUnavailable:
+		o.dropped.Add()
+	default:
+		o.badGateway.Add()
+	}
+}
--- /dev/null
+++ b/internal/proxy/figures_test.go
@@ -0,0 +1,99 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// figure returns a figure as an operator reads it.
+func (b *balancer) figure(t *testing.T, id string) (n int) {
+	t.Helper()
+	var text strings.Builder
+	if err := b.proxy.WriteFigures(&text); err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(text.String()) {
+		if rest, ok := strings.CutPrefix(line, id+" "); ok {
+			if _, err := fmt.Sscan(rest, &n); err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+	}
+	t.Fatalf("%s is missing from\n%s", id, &text)
+	return 0
+}
+
+// Every request stands under the one answer it got, and every attempt that was written counts.
+func TestFiguresAreTrue(t *testing.T) {
+	release := make(chan struct{})
+	fails := 0
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		switch {
+		case r.Header.Get("X-Wait") != "":
+			<-release
+		case r.Header.Get("X-Fail") != "" && fails > 0:
+			fails--
+			_, err := c.Write([]byte("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"))
+			return err == nil
+		}
+		return okAll(c, r)
+	})
+	m, gone := up("s-00000001", s), up("s-00000002", s)
+	b := newBalancer(t, m, draining(gone))
+	<-b.registry.calls
+	for _, class := range []string{"read", "pay", "checkin"} { // every class stands there from the start
+		for _, name := range []string{"passed", "dropped", "bad_gateway"} {
+			want(t, name, b.figure(t, `svc_`+name+`{category="`+class+`"}`), 0)
+		}
+	}
+	want(t, "listed", b.figure(t, "svc_known_upstreams"), 2)
+	want(t, "avoided", b.figure(t, "svc_skipped_upstreams"), 1)
+
+	for range 3 {
+		status, _ := b.do(t, b.ask("read", ""))
+		want(t, "status", status, 200)
+	}
+	fails = 1 // an unsafe request that may have run fails; a safe one is sent again
+	status, _ := b.do(t, b.ask("checkin", "", "X-Fail", "1"))
+	want(t, "status", status, 502)
+	fails = 1
+	status, _ = b.do(t, b.ask("read", "", "X-Fail", "1"))
+	want(t, "status", status, 200)
+	status, _ = b.do(t, b.ask("pay", "", "X-Deadline-Ms", "1")) // too late to be sent
+	want(t, "status", status, 503)
+	waiting := make(chan int, 1)
+	go func() {
+		resp, err := b.client.Do(b.ask("pay", "", "X-Wait", "1"))
+		if err != nil {
+			waiting <- 0
+			return
+		}
+		resp.Body.Close()
+		waiting <- resp.StatusCode
+	}()
+	for r := range s.arrivals {
+		if r.Header.Get("X-Wait") != "" {
+			break
+		}
+	}
+	want(t, "in progress", b.figure(t, "svc_in_progress"), 1)
+	close(release)
+	want(t, "status", <-waiting, 200)
+
+	for id, n := range map[string]int{`svc_passed{category="read"}`: 4, `svc_passed{category="pay"}`: 1,
+		`svc_passed{category="checkin"}`: 0, `svc_dropped{category="pay"}`: 1, `svc_dropped{category="read"}`: 0,
+		`svc_bad_gateway{category="checkin"}`: 1, `svc_bad_gateway{category="read"}`: 0, "svc_upstream_tries": 7} {
+		want(t, id, b.figure(t, id), n)
+	}
+
+	b.registry.answers <- listing{Revision: 11, Complete: true, Members: []member{m}}
+	<-b.registry.calls // the list has been taken: the next call names its revision
+	status, _ = b.do(t, b.ask("read", ""))
+	want(t, "status", status, 200)
+	want(t, "listed later", b.figure(t, "svc_known_upstreams"), 1)
+	want(t, "avoided later", b.figure(t, "svc_skipped_upstreams"), 0)
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -50,6 +50,7 @@
 // frontend takes requests from clients, hands them to the loop and writes its answers.
 type frontend struct {
 	life     context.Context // ends what the frontend has started
+	figures  *figures
 	classes  map[string]clayladder.Class
 	post     func(event)
 	leaving  atomic.Bool
@@ -70,8 +71,8 @@
 	since time.Duration
 }
 
-func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
-	f := &frontend{life: life, classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
+func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration, fig *figures) *frontend {
+	f := &frontend{life: life, figures: fig, classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
 		maxOpen: c.Sockets / 2, now: now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
@@ -213,10 +214,13 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	f.figures.inProgress.Add(1)
+	defer f.figures.inProgress.Add(-1)
 	f.post(arrived{q})
 	select {
 	case a := <-q.reply:
 		write(w, a)
+		f.figures.answered(q.Class, a.status)
 	case <-r.Context().Done(): // the client has closed its connection
 		f.post(left{q})
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -95,6 +95,9 @@
 	conns    int     // connections to upstreams, open or opening
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
+
+	figures   *figures
+	publishAt time.Duration
 }
 
 // owing is an outcome to tell as soon as the module has returned.
@@ -107,10 +110,11 @@
 
 func newLoop(ctx context.Context, c *Config) *loop {
 	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
-		origin: time.Now(), dial: dialer{timeout: c.Links.ConnectTimeout}, settings: c.Settings,
+		origin: time.Now(), settings: c.Settings, figures: newFigures(c.Settings.Classes),
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.Sockets * 3 / 8,
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, peers: map[clayladder.UpstreamID]*peer{},
 		stopWatch: func() {}}
+	l.dial = dialer{timeout: c.Links.ConnectTimeout, tries: l.figures.tries}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
@@ -196,10 +200,22 @@
 		}
 		l.settle()
 	}
-	if now := l.now(); now >= l.sweepAt {
+	now := l.now()
+	if now >= l.sweepAt {
 		l.sweepAt = now + sweepEvery
 		l.sweep(now)
 	}
+	if now >= l.publishAt {
+		l.publish(now)
+	}
+}
+
+// publish tells the gauges that only the loop knows. The module's ticks see to it that they are never old.
+func (l *loop) publish(now time.Duration) {
+	l.publishAt = now + publishEvery
+	known, skipped := l.balancer.Listed(now)
+	l.figures.known.Set(known)
+	l.figures.skipped.Set(skipped)
 }
 
 func (l *loop) alarm(a alarm) {
@@ -592,6 +608,7 @@
 	}
 	l.balancer.Members(l.now(), mode, list)
 	l.settle()
+	l.publish(l.now())
 	for _, p := range l.peers {
 		l.forget(p)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -20,7 +21,7 @@
 	life, end := context.WithCancel(context.Background())
 	p := &Proxy{config: c, end: end}
 	p.loop = newLoop(life, &p.config)
-	p.front = newFrontend(life, &p.config, listener, p.loop.post, p.loop.now)
+	p.front = newFrontend(life, &p.config, listener, p.loop.post, p.loop.now, p.loop.figures)
 	return p
 }
 
@@ -67,3 +68,6 @@
 	_, state = p.Ready()
 	return true, state
 }
+
+// WriteFigures writes what the balancer reports, one figure to a line.
+func (p *Proxy) WriteFigures(w io.Writer) error { return p.loop.figures.set.Write(w) }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"clayladder"
+	"clayladder/internal/metrics"
 )
 
 // settingsText has a class of each kind. Discovery is asked again at once after a failure.
@@ -213,6 +214,8 @@
 	return resp.StatusCode, string(body)
 }
 
+func testDialer() dialer { return dialer{timeout: time.Second, tries: &metrics.Counter{}} }
+
 func want(t *testing.T, what string, got, want any) {
 	t.Helper()
 	if got != want {
@@ -255,7 +258,7 @@
 				return n == 1 && okAll(c, r)
 			})
 			p := &peer{address: s.addr}
-			d := dialer{timeout: time.Second}
+			d := testDialer()
 			send := func(c *conn) result {
 				h := http.Header{"X-Request-Id": {"1"}}
 				if class == "pay" {
@@ -282,7 +285,7 @@
 		closed <- struct{}{}
 		return false
 	})
-	d := dialer{timeout: time.Second}
+	d := testDialer()
 	c, err := d.connect(nil, s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -332,7 +335,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newServer(t, c.answer)
 			m := message{line: "POST /x", host: "x", body: []byte("b")}
-			r := dialer{timeout: time.Second}.run(&attempt{peer: &peer{}, address: s.addr, head: m.bytes(time.Second)})
+			r := testDialer().run(&attempt{peer: &peer{}, address: s.addr, head: m.bytes(time.Second)})
 			want(t, "status", any(r.status), c.status)
 			want(t, "kept", r.conn != nil, c.keeps)
 			if c.status == clayladder.OK {
@@ -348,7 +351,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	d := dialer{timeout: time.Second}
+	d := testDialer()
 	want(t, "refused", d.run(&attempt{address: l.Addr().String()}).status, clayladder.ConnectFailed)
 
 	// What waits for its connection when its request ends or its upstream leaves is not sent any more.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"clayladder"
+	"clayladder/internal/metrics"
 	"clayladder/internal/wire"
 )
 
@@ -94,7 +95,10 @@
 }
 
 // dialer opens connections to upstreams.
-type dialer struct{ timeout time.Duration }
+type dialer struct {
+	timeout time.Duration
+	tries   *metrics.Counter // attempts written whole
+}
 
 // connect returns the idle connection if it still stands, or a new one.
 func (d dialer) connect(idle *conn, address string) (*conn, error) {
@@ -127,8 +131,10 @@
 		if n < len(a.head) { // certain: the last byte never left this process
 			return result{status: clayladder.ConnectFailed}
 		}
+		d.tries.Add()
 		return result{status: clayladder.Reset}
 	}
+	d.tries.Add()
 	return c.answer()
 }
 
