Adopt the clients' listener named by RELAY_FD and leave it at once on SIGTERM

Design: with RELAY_FD the clients' listener is adopted (checked to listen), else opened. On SIGTERM an adopted one is closed at once, so its queue is the successor's; what was accepted goes on as before, and idle connections to upstreams are closed.

Seen: "node n0 crashed: exited with 1" (listening for clients: address in use).

--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -35,13 +35,13 @@
 	// The machine has one core. Collecting later costs memory, which the soft limit bounds, and saves time.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
+	debug.SetMemoryLimit(c.SoftMemory())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	slog.Info("starting", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members))
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := c.Open()
 	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+		return err
 	}
 	balancer := proxy.New(c, listener)
 	if c.Management != "" {
--- a/cmd/olivearch/main_test.go
+++ b/cmd/olivearch/main_test.go
@@ -62,11 +62,20 @@
 // begin starts the program with an address of discovery and waits until it is healthy.
 func begin(t *testing.T, discovery string) *started {
 	t.Helper()
-	listen := free(t)
+	return beginAt(t, free(t), discovery, nil)
+}
+
+// beginAt starts the program at an address for clients, with that address's socket as descriptor 3 if there is one.
+func beginAt(t *testing.T, listen, discovery string, held *os.File) *started {
+	t.Helper()
 	p := &started{Cmd: program(t), path: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1),
 		limit: time.After(30 * time.Second)}
 	p.configure(t, listen, discovery)
 	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.path, "RELAY_DISCOVERY="+discovery)
+	if held != nil {
+		p.ExtraFiles = []*os.File{held}
+		p.Env = append(p.Env, "RELAY_FD=3")
+	}
 	p.Stdout, p.Stderr = &p.log, &p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -110,7 +119,7 @@
 		}
 	case <-p.limit:
 		p.Process.Kill()
-		t.Fatalf("not ended in time: %v", <-p.ended)
+		t.Fatalf("not ended in time: %v\n%s", <-p.ended, &p.log)
 	}
 }
 
@@ -150,6 +159,52 @@
 	p.end(t)
 }
 
+// The program is upgraded twice under an address that the platform holds. Each successor serves before the process before
+// it is told to end; one that fails to start changes nothing, and files left in $TMPDIR are no concern of either.
+func TestUpgrades(t *testing.T) {
+	var plain net.ListenConfig
+	plain.SetMultipathTCP(false) // such a socket keeps no bound on accept
+	l, err := plain.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	held, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	tmp := t.TempDir()
+	t.Setenv("TMPDIR", tmp)
+	if err := os.WriteFile(filepath.Join(tmp, "stale"), []byte("left behind"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	discovery := free(t)
+	p := beginAt(t, l.Addr().String(), discovery, held)
+	for range 2 {
+		failing := &started{Cmd: program(t)}
+		failing.Env = append(os.Environ(), "RELAY_CONFIG="+p.path, "RELAY_FD=9")
+		if out, err := failing.CombinedOutput(); err == nil || !strings.Contains(string(out), "RELAY_FD") || strings.Contains(string(out), "panic") {
+			t.Errorf("a successor without its listener: %v, %s", err, out)
+		}
+		next := beginAt(t, l.Addr().String(), discovery, held)
+		if err := next.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		p.end(t)
+		p = next
+		resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("health after an upgrade: %s", resp.Status)
+		}
+	}
+	p.end(t)
+}
+
 // Operators reach the program at the second address it is given, and it still ends on SIGTERM during a drain.
 func TestOperatorsCall(t *testing.T) {
 	operators := free(t)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -26,6 +26,7 @@
 	Discovery string // host:port of discovery
 	// Management is the host:port for the operators' calls. Empty: there is none.
 	Management string
+	ListenFD   int // the clients' listener, if the platform hands one down; else 0
 	Seed       uint64
 	MemoryMB   int
 	Sockets    int
@@ -65,7 +66,8 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
-	return c, nil
+	c.ListenFD, err = listenFD(getenv("RELAY_FD"))
+	return c, err
 }
 
 // LoadDiscovery reads the address of discovery anew from the file that RELAY_CONFIG names. What RELAY_DISCOVERY said at
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -55,6 +55,7 @@
 	post     func(event)
 	leaving  atomic.Bool
 	draining atomic.Bool
+	adopted  bool // the listener is held by the platform
 	maxOpen  int
 	longest  time.Duration
 	now      func() time.Duration
@@ -73,7 +74,7 @@
 
 func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration, fig *figures) *frontend {
 	f := &frontend{life: life, figures: fig, classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
-		maxOpen: c.Sockets / 2, now: now, conns: map[net.Conn]clientConn{}}
+		maxOpen: c.clientConns(), adopted: c.Adopts(), now: now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
@@ -180,9 +181,14 @@
 }
 
 // stop ends service without losing a request: connections that are still on their way are taken, then the
-// listener and idle connections are closed, and what has been taken is answered.
+// listener and idle connections are closed, and what has been taken is answered. A listener that was handed down is
+// left at once.
 func (f *frontend) stop() {
 	f.leaving.Store(true)
+	if f.adopted {
+		f.listener.Close() // what waits in its queue, and what still comes, is for the process that follows
+		f.post(leave{})
+	}
 	time.Sleep(lameDuck)
 	time.AfterFunc(firstBytes, f.closeUnused)
 	ctx, cancel := context.WithTimeout(context.Background(), f.longest+lameDuck)
--- /dev/null
+++ b/internal/proxy/listen_test.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// held is a listening socket as a platform holds it: each call of the result is a descriptor that a process inherits.
+func held(t *testing.T) (addr string, inherit func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String(), func() int {
+		f, err := l.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		fd, err := syscall.Dup(int(f.Fd())) // Open takes it over
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fd
+	}
+}
+
+// A successor takes the queue of a listener that the platform holds. The process before it leaves the listener at once,
+// keeps what it had accepted, and nobody is turned away in between.
+func TestUpgradeLosesNobody(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Late") != "" {
+			<-release
+		}
+		return okAll(c, r)
+	})
+	addr, inherit := held(t)
+	first := newBalancerAt(t, inherit(), up("s-00000001", s))
+	first.url = "http://" + addr
+	late := make(chan int, 1)
+	go func() {
+		resp, err := first.client.Do(first.ask("checkin", "", "X-Late", "1"))
+		if err != nil {
+			late <- 0
+			return
+		}
+		resp.Body.Close()
+		late <- resp.StatusCode
+	}()
+	<-s.arrivals
+	second := newBalancerAt(t, inherit(), up("s-00000001", s))
+	second.url = first.url
+	first.cancel()
+	for n := 0; ; n++ { // until the first has left the listener, either may answer; from then on only the second
+		status, _ := second.doOnce(t, second.ask("checkin", ""))
+		want(t, "status meanwhile", status, 200)
+		if second.figure(t, `svc_passed{category="checkin"}`) > 10 {
+			break
+		}
+	}
+	want(t, "the first still answers", len(late), 0)
+	close(release)
+	want(t, "status of the request in hand", <-late, 200)
+	if err := <-first.ended; err != nil {
+		t.Error(err)
+	}
+	first.ended <- nil
+	before := second.figure(t, `svc_passed{category="checkin"}`)
+	for range 10 {
+		status, _ := second.doOnce(t, second.ask("checkin", ""))
+		want(t, "status after", status, 200)
+	}
+	want(t, "served by the second", second.figure(t, `svc_passed{category="checkin"}`)-before, 10)
+}
+
+func TestBadListenerSaysWhy(t *testing.T) {
+	for _, text := range []string{"x", "-1", "0", "2", "3.5", "99999999999999999999"} {
+		if _, err := load(t, configText, map[string]string{"RELAY_FD": text}); err == nil || !strings.Contains(err.Error(), "RELAY_FD") {
+			t.Errorf("RELAY_FD=%s: got %v", text, err)
+		}
+	}
+	file, err := os.Create(filepath.Join(t.TempDir(), "file"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	addr, _ := held(t)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	connected, err := c.(*net.TCPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connected.Close()
+	for name, fd := range map[string]int{"closed": 1 << 20, "a file": int(file.Fd()), "a connection": int(connected.Fd())} {
+		fd, dupErr := syscall.Dup(fd)
+		if dupErr != nil {
+			fd = 1 << 20
+		}
+		c, err := load(t, configText, map[string]string{"RELAY_FD": fmt.Sprint(fd)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l, err := c.Open(); err == nil || !strings.Contains(err.Error(), "RELAY_FD") {
+			t.Errorf("%s: got %v, %v", name, l, err)
+		}
+	}
+}
+
+// Two processes that overlap stay inside the limits of one.
+func TestOverlapSharesTheLimits(t *testing.T) {
+	c, err := load(t, configText, map[string]string{"RELAY_FD": "3"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	alone := c
+	alone.ListenFD = 0
+	if two, one := 2*c.SoftMemory(), alone.SoftMemory(); two > one {
+		t.Errorf("memory: %d for both, %d for one", two, one)
+	}
+	const others = 32 // listeners, discovery, operators, standard streams at each
+	if n := 2*(c.upstreamConns()+others) + c.Sockets/3; n > c.Sockets {
+		t.Errorf("%d of %d descriptors", n, c.Sockets)
+	}
+}
+
+// A process that leaves keeps no idle connection to upstreams: its successor needs their room.
+func TestLeavingKeepsNoIdleConnection(t *testing.T) {
+	s := newServer(t, okAll)
+	l := bench(t, 10)
+	p := join(l, 1, s)
+	idle(t, l, p, l.now())
+	late := idle(t, l, p, l.now())
+	p.idle = p.idle[:1] // the other is in use
+	leave{}.apply(l)
+	want(t, "idle", len(p.idle), 0)
+	l.keep(p, late)
+	want(t, "idle after use", len(p.idle), 0)
+	want(t, "connections", l.conns, 0)
+}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -95,6 +95,7 @@
 	conns    int     // connections to upstreams, open or opening
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
+	leaving  bool // another process needs the room of idle connections
 
 	figures   *figures
 	publishAt time.Duration
@@ -111,7 +112,7 @@
 func newLoop(ctx context.Context, c *Config) *loop {
 	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
 		origin: time.Now(), settings: c.Settings, figures: newFigures(c.Settings.Classes),
-		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.Sockets * 3 / 8,
+		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, peers: map[clayladder.UpstreamID]*peer{},
 		stopWatch: func() {}}
 	l.dial = dialer{timeout: c.Links.ConnectTimeout, tries: l.figures.tries}
@@ -489,7 +490,7 @@
 	switch {
 	case c == nil:
 		l.conns--
-	case p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
+	case l.leaving || p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
 		l.shut(c)
 	case c.SetDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
 		l.shut(c)
@@ -553,6 +554,16 @@
 	}
 }
 
+// leave closes idle connections, now and from now on: a process that follows shares the limit on descriptors.
+type leave struct{}
+
+func (leave) apply(l *loop) {
+	l.leaving = true
+	for id := range l.peers {
+		l.Disconnect(id)
+	}
+}
+
 // forget drops an upstream that is gone and has nothing out.
 func (l *loop) forget(p *peer) {
 	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -145,6 +145,12 @@
 }
 
 func newBalancer(t *testing.T, members ...member) *balancer {
+	t.Helper()
+	return newBalancerAt(t, 0, members...)
+}
+
+// newBalancerAt starts a balancer on an inherited listener, or on one of its own if fd is 0.
+func newBalancerAt(t *testing.T, fd int, members ...member) *balancer {
 	t.Helper()
 	g := newRegistry(t)
 	f := file{Name: "n0", Listen: "127.0.0.1:0", Discovery: g.addr, Seed: "8c1f30d27a5be964",
@@ -154,7 +160,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", c.Listen)
+	c.ListenFD = fd
+	l, err := c.Open()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,6 +221,13 @@
 	return resp.StatusCode, string(body)
 }
 
+// doOnce sends a request on a connection of its own.
+func (b *balancer) doOnce(t *testing.T, r *http.Request) (int, string) {
+	t.Helper()
+	r.Close = true
+	return b.do(t, r)
+}
+
 func testDialer() dialer { return dialer{timeout: time.Second, tries: &metrics.Counter{}} }
 
 func want(t *testing.T, what string, got, want any) {
