Leave half of the clients' connections to a successor: a sixth of the descriptors each

Seen: 272 requests at the door on upgrade, all "for which clients had no connection left"; counts of connections by state show 122 of the 128 that clients may hold busy at SIGTERM, and 87 half a second later, while the successor's clients ask for theirs. Ruled out: connections closed while idle, unused or to make room (0 given way, 0 closed as unused), and a slow start (ready after 0.1 s).

Design: attempts out are bounded by connections to upstreams; a sixth of the descriptors at each process keeps both inside the third that clients hold. Not taken: a lower bound only while a successor is there, of which the old process knows nothing before SIGTERM.

--- a/internal/proxy/listen.go
+++ b/internal/proxy/listen.go
@@ -49,11 +49,12 @@
 // and for a time the two together have the limits of one.
 func (c *Config) Adopts() bool { return c.ListenFD != 0 }
 
-// upstreamConns bounds the connections to upstreams. Where two processes may overlap, each has a fixed part: clients
-// hold a third of the descriptors at both together, and listeners, discovery and operators a few at each.
+// upstreamConns bounds the connections to upstreams, and with them the attempts that are out. Where two processes may
+// overlap, each has a fixed part. Clients hold a third of the descriptors at both together, one for each request: with
+// more than half of those at work for the process that leaves, its successor's clients find none.
 func (c *Config) upstreamConns() int {
 	if c.Adopts() {
-		return c.Sockets * 9 / 32
+		return c.Sockets / 6
 	}
 	return c.Sockets * 3 / 8
 }
--- a/internal/proxy/listen_test.go
+++ b/internal/proxy/listen_test.go
@@ -134,6 +134,11 @@
 	if n := 2*(c.upstreamConns()+others) + c.Sockets/3; n > c.Sockets {
 		t.Errorf("%d of %d descriptors", n, c.Sockets)
 	}
+	// Attempts of the process that leaves once held all but a few of the connections that clients have, so that
+	// requests for its successor ended at the door.
+	if n := 2 * c.upstreamConns(); n > c.Sockets/3 {
+		t.Errorf("%d attempts at both, %d connections of clients", n, c.Sockets/3)
+	}
 }
 
 // A process that leaves keeps no idle connection to upstreams: its successor needs their room.
