Answer a request whose deadline is 0 ms at once

The frontend took 0 as no deadline (ms > 0) and gave it the class's, 1.166 s; its client waited its 0 ms and the half second of grace.

Ruled out by logs in the handler: a panic, an answer that came late (none), a read deadline left on a connection (the reads that timed out are those that net/http ends itself), a connection closed by this side while in use. Not taken: holding such a request for a turn that comes free; no answer to it is in time.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -452,7 +452,7 @@
 	}
 	q.Class, q.Tenant, q.Retry = class.Name, h.Get("X-Tenant"), h.Get("X-Retry") == "1"
 	q.Budget = class.Deadline
-	if ms, err := strconv.ParseInt(h.Get("X-Deadline-Ms"), 10, 32); err == nil && ms > 0 {
+	if ms, err := strconv.ParseInt(h.Get("X-Deadline-Ms"), 10, 32); err == nil && ms >= 0 { // 0: its time is over, and it is owed an answer at once
 		q.Budget = min(q.Budget, time.Duration(ms)*time.Millisecond)
 	}
 	q.Budget = max(0, q.Budget-answerMargin)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -427,6 +427,18 @@
 	}
 }
 
+// A client whose time is over gets its answer at once, and nothing is sent for it. It was taken for one that gives no
+// deadline, and left without an answer before the class's ran out.
+func TestDeadlineOfZeroIsAnsweredAtOnce(t *testing.T) {
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	for _, class := range []string{"read", "pay", "checkin"} {
+		status, _ := b.do(t, b.ask(class, "", "X-Deadline-Ms", "0"))
+		want(t, "status", status, http.StatusServiceUnavailable)
+	}
+	want(t, "requests at the upstream", len(s.arrivals), 0)
+}
+
 // Where the end of a request is in doubt, one reader's body is another's next request. Such a request is turned
 // away, and what stands behind its head never reaches an upstream as a request of its own.
 func TestNoRequestOutOfABody(t *testing.T) {
