Hold bodies under one byte budget, and pass them on early where it is short

Design: what is held of requests and answers (64 KiB each at most) comes out of one budget, a fifth of the soft memory; a body that finds no room beyond its first 4 KiB is passed on as it comes. Held bytes were bounded by connections alone: 56 MB at 1,024 descriptors, beside a limit of 64 MB. Not taken: waiting for room, in which bodies that each hold a part can wait for one another. It also joins the two loops that held bodies and answers.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -16,9 +16,6 @@
 	"clayladder/internal/wire"
 )
 
-// maxBody bounds the bodies of requests and answers, as the protocol does.
-const maxBody = 64 << 10
-
 // Config is what a balancer is told at its start.
 type Config struct {
 	Name      string
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -52,6 +52,7 @@
 type frontend struct {
 	life     context.Context // ends what the frontend has started
 	figures  *figures
+	held     *budget // of bodies, the loop's
 	classes  map[string]clayladder.Class
 	post     func(event)
 	leaving  atomic.Bool
@@ -73,8 +74,8 @@
 	since time.Duration
 }
 
-func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration, fig *figures) *frontend {
-	f := &frontend{life: life, figures: fig, classes: map[string]clayladder.Class{}, post: post, listener: framedListener{l, now}, longest: c.longest(),
+func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration, fig *figures, held *budget) *frontend {
+	f := &frontend{life: life, figures: fig, held: held, classes: map[string]clayladder.Class{}, post: post, listener: framedListener{l, now}, longest: c.longest(),
 		maxOpen: c.clientConns(), adopted: c.Adopts(), now: now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
@@ -224,6 +225,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	defer f.held.give(cap(q.message.body))
 	f.serveRequest(w, r, q, body)
 }
 
@@ -240,6 +242,7 @@
 	f.post(arrived{q})
 	select {
 	case a := <-q.reply:
+		defer f.held.give(cap(a.body))
 		if q.Upload && !body.taken.Load() { // what is left of its body is not read
 			w.Header().Set("Connection", "close")
 		}
@@ -428,12 +431,17 @@
 			u.credit = min(slowClient, max(leastCredit, overdue-(at-c.headAt)))
 		}
 		var err error
-		if body, more, err = u.hold(r.ContentLength); err != nil {
+		var whole bool
+		body, whole, err = f.held.hold(u, r.ContentLength, func() bool { return false })
+		if err != nil {
+			f.held.give(cap(body))
 			return bad("body: %w", err)
 		}
+		more = !whole
 		at = f.now() // it counts from its last byte
 	}
 	if class.Repeat == clayladder.Safe && len(body) > 0 {
+		f.held.give(cap(body))
 		return bad("a GET has no body")
 	}
 	for _, named := range h["Connection"] { // fields that the client meant for this connection only
@@ -445,6 +453,7 @@
 		message: message{line: r.Method + " " + originForm(r.RequestURI), header: h, host: r.Host, body: body}}
 	if more {
 		if err := u.control.EnableFullDuplex(); err != nil {
+			f.held.give(cap(body))
 			return bad("body: %w", err)
 		}
 		q.Upload, q.message.rest, q.message.length = true, u, r.ContentLength
@@ -468,32 +477,6 @@
 	return q, u, 0, nil
 }
 
-// hold reads a body up to maxBody; more tells that it goes on.
-func (u *upload) hold(length int64) (body []byte, more bool, err error) {
-	if length >= 0 && length <= maxBody {
-		body = make([]byte, length)
-		if _, err = io.ReadFull(u, body); err == nil {
-			u.control.SetReadDeadline(time.Time{})
-		}
-		return body, false, err
-	}
-	body = make([]byte, 0, 4<<10)
-	for {
-		n, err := u.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, false, nil
-		case err != nil:
-			return nil, false, err
-		case len(body) == maxBody:
-			return body, true, nil
-		case len(body) == cap(body):
-			body = append(make([]byte, 0, min(maxBody, 4*cap(body))), body...)
-		}
-	}
-}
-
 // originForm is a request's target without scheme and host, as upstreams get it.
 func originForm(target string) string {
 	if _, rest, ok := strings.Cut(target, "://"); ok && !strings.HasPrefix(target, "/") {
--- a/internal/proxy/listen.go
+++ b/internal/proxy/listen.go
@@ -76,6 +76,9 @@
 	return all
 }
 
+// heldBytes is how much of bodies may be held at once.
+func (c *Config) heldBytes() int64 { return c.SoftMemory() / 5 }
+
 // listenFD reads RELAY_FD; 0: it is not set.
 func listenFD(text string) (int, error) {
 	if text == "" {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -116,7 +116,7 @@
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, peers: map[clayladder.UpstreamID]*peer{},
 		stopWatch: func() {}}
-	l.dial = dialer{timeout: c.Links.ConnectTimeout, tries: l.figures.tries}
+	l.dial = dialer{timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes())}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
@@ -279,6 +279,7 @@
 	}
 	select {
 	case a := <-r.reply: // it came too late to be passed on
+		l.dial.held.give(cap(a.body))
 		if a.more != nil {
 			l.shut(a.more.conn)
 		}
@@ -300,18 +301,20 @@
 	} else if s.peer = a.peer; a.told || a.req.closed {
 		l.shut(s.conn)
 	}
-	l.tell(a, e.result)
+	if !l.tell(a, e.result) {
+		l.dial.held.give(cap(e.result.body))
+	}
 	l.forget(a.peer)
 }
 
 // tell gives the module an attempt's one outcome, and the client the answer if it is served.
-func (l *loop) tell(a *attempt, r result) {
+func (l *loop) tell(a *attempt, r result) (served bool) {
 	if a.told {
-		return
+		return false
 	}
 	a.told = true
 	q, now := a.req, l.now()
-	if r.status == clayladder.OK && !q.closed {
+	if served = r.status == clayladder.OK && !q.closed; served {
 		l.answer(q, answer{status: http.StatusOK, body: r.body, kind: r.kind, more: r.more})
 	}
 	q.out--
@@ -319,6 +322,7 @@
 	l.release(q)
 	l.balancer.Outcome(now, clayladder.Outcome{ID: q.ID, Upstream: a.peer.id, Attempt: a.n, Latency: now - a.sentAt,
 		Status: r.status, Closed: closed, Spent: r.spent, Load: r.load})
+	return served
 }
 
 // settle tells the outcomes that came up while the module was calling.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -228,7 +228,9 @@
 	return b.do(t, r)
 }
 
-func testDialer() dialer { return dialer{timeout: time.Second, tries: &metrics.Counter{}} }
+func testDialer() dialer {
+	return dialer{timeout: time.Second, tries: &metrics.Counter{}, held: newBudget(1 << 20)}
+}
 
 func want(t *testing.T, what string, got, want any) {
 	t.Helper()
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -280,3 +281,49 @@
 		}
 	}
 }
+
+// What is held of bodies stays inside its budget: a body that finds no room is passed on as it comes, whole all the same,
+// and every byte is given back.
+func TestHeldBodiesHaveABudget(t *testing.T) {
+	b := newBudget(20 << 10)
+	for _, c := range []struct {
+		size, length int64
+		held         int
+		whole        bool
+	}{{0, 0, 0, true}, {300, 300, 300, true}, {300, -1, 300, true}, {16 << 10, 16 << 10, 16 << 10, true},
+		{40 << 10, 40 << 10, 16 << 10, false}, {1 << 20, -1, 16 << 10, false}} {
+		body, whole, err := b.hold(noise(c.size), c.length, func() bool { return false })
+		if err != nil || len(body) != c.held || whole != c.whole {
+			t.Errorf("%d bytes of length %d: %d held, whole %v, %v", c.size, c.length, len(body), whole, err)
+		}
+		b.give(cap(body))
+	}
+	if _, _, err := b.hold(noise(10), 20, func() bool { return false }); err != io.ErrUnexpectedEOF {
+		t.Errorf("a short one: %v", err)
+	}
+
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 60<<10)
+		_, err := io.Copy(c, noise(60<<10))
+		return err == nil
+	})
+	p := newBalancer(t, up("s-00000001", s))
+	held := p.proxy.loop.dial.held
+	whole := held.free.Load()
+	for _, room := range []int64{whole, 8 << 10} {
+		held.free.Store(room)
+		r := p.ask("checkin", "")
+		r.Body, r.ContentLength = io.NopCloser(noise(60<<10)), 60<<10
+		status, body := p.do(t, r)
+		want(t, "status", status, 200)
+		want(t, "answer", len(body), 60<<10)
+		got, _ := io.ReadAll((<-s.arrivals).Body)
+		want(t, "body", len(got), 60<<10)
+		for deadline := time.Now().Add(30 * time.Second); held.free.Load() != room; { // its handler ends just after its answer
+			if time.Now().After(deadline) {
+				t.Fatalf("%d bytes were not given back", room-held.free.Load())
+			}
+			runtime.Gosched()
+		}
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -128,6 +128,7 @@
 type dialer struct {
 	timeout time.Duration
 	tries   *metrics.Counter // attempts written whole
+	held    *budget
 }
 
 // connect returns the idle connection if it still stands, or a new one.
@@ -236,7 +237,7 @@
 		return result{status: clayladder.Moot, spent: true}
 	case a.req.message.rest != nil: // it may have said why it takes no more
 		c.SetReadDeadline(time.Now().Add(d.timeout))
-		if r := c.answer(); r.status == clayladder.Full {
+		if r := d.answer(c); r.status == clayladder.Full {
 			if r.conn != nil {
 				r.conn.Close()
 			}
@@ -248,13 +249,13 @@
 		c.Close()
 		return result{status: clayladder.ConnectFailed}
 	}
-	r := c.answer()
+	r := d.answer(c)
 	r.spent = spent
 	return r
 }
 
 // answer reads an attempt's answer. A large or slow one is left to be passed on as it comes.
-func (c *conn) answer() result {
+func (d dialer) answer(c *conn) result {
 	c.limit.N = maxAnswer
 	resp, err := http.ReadResponse(c.in, nil)
 	for err == nil && resp.StatusCode < http.StatusOK { // 1xx come before the answer
@@ -272,21 +273,26 @@
 		resp.Header.Get("X-Not-Run") == "1": // without that mark it may have run
 		r.status = clayladder.Full
 	}
-	body, whole, err := hold(resp)
+	began := time.Now()
+	body, whole, err := d.held.hold(resp.Body, resp.ContentLength, func() bool {
+		return resp.ContentLength > maxBody || (resp.ContentLength < 0 && time.Since(began) > passOn)
+	})
+	if err == nil && r.status == clayladder.OK {
+		r.body = body
+	} else {
+		d.held.give(cap(body))
+	}
 	switch {
 	case err != nil:
 		c.Close()
 		return result{status: clayladder.Reset}
 	case !whole && r.status == clayladder.OK:
-		r.body, r.more = body, &stream{resp: resp, conn: c}
+		r.more = &stream{resp: resp, conn: c}
 	case !whole || resp.Close: // nobody wants the body of an error
 		c.Close()
 	default:
 		r.conn = c
 	}
-	if whole && r.status == clayladder.OK {
-		r.body = body
-	}
 	return r
 }
 
@@ -294,31 +300,6 @@
 // be one that can be asked for again, but holding back a long one costs its time.
 const passOn = 200 * time.Millisecond
 
-// hold reads an answer's body up to maxBody. It stops at once where more is sure to come, and where it comes slowly.
-func hold(resp *http.Response) (body []byte, whole bool, err error) {
-	if n := resp.ContentLength; n >= 0 && n <= maxBody {
-		body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, body)
-		return body, true, err
-	}
-	began := time.Now()
-	body = make([]byte, 0, 4<<10)
-	for {
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, true, nil
-		case err != nil:
-			return nil, false, err
-		case resp.ContentLength > maxBody, len(body) == maxBody, time.Since(began) > passOn:
-			return body, false, nil
-		case len(body) == cap(body):
-			body = append(make([]byte, 0, min(maxBody, 4*cap(body))), body...)
-		}
-	}
-}
-
 // loadOf reads a load report: name=value pairs. What can't be read is passed over.
 func loadOf(text string) clayladder.Load {
 	var l clayladder.Load
@@ -346,7 +327,8 @@
 		c.Close()
 		return result{status: clayladder.ConnectFailed}
 	}
-	r = c.answer()
+	r = d.answer(c)
+	d.held.give(cap(r.body))
 	if r.more != nil { // no report is as long
 		c.Close()
 		return result{status: clayladder.Error}
