--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -74,14 +74,15 @@
 	since time.Duration
 }
 
-func newFrontend(life context.Context, c *Config, l net.Listener, post func(event), now func() time.Duration, fig *figures, held *budget) *frontend {
-	f := &frontend{life: life, figures: fig, held: held, classes: map[string]clayladder.Class{}, post: post, listener: framedListener{l, now}, longest: c.longest(),
-		maxOpen: c.clientConns(), adopted: c.Adopts(), now: now, conns: map[net.Conn]clientConn{}}
+func newFrontend(c *Config, l net.Listener, to *loop) *frontend {
+	f := &frontend{life: to.ctx, figures: to.figures, held: to.dial.held, classes: map[string]clayladder.Class{},
+		post: to.post, listener: framedListener{l, to.now}, longest: c.longest(), maxOpen: c.clientConns(),
+		adopted: c.Adopts(), now: to.now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
-	f.serving = http.Server{Handler: f, ReadHeaderTimeout: slowClient,
-		WriteTimeout: slowClient + f.longest + slowAnswer, ConnContext: keepConn, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: f.count}
+	f.serving = http.Server{Handler: f, ReadHeaderTimeout: slowClient, WriteTimeout: slowClient + f.longest + slowAnswer,
+		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnContext: keepConn, ConnState: f.count}
 	return f
 }
 
@@ -423,7 +424,8 @@
 	case (class.Repeat == clayladder.Keyed) != (h.Get("Idempotency-Key") != ""):
 		return bad("Idempotency-Key does not fit the class")
 	}
-	u := &upload{body: r.Body, control: http.NewResponseController(w), credit: slowClient, broken: make(chan struct{}), onTaken: func() {}}
+	u := &upload{body: r.Body, control: http.NewResponseController(w), credit: slowClient,
+		broken: make(chan struct{}), onTaken: func() {}}
 	var body []byte
 	more := false
 	if r.ContentLength != 0 {
@@ -461,7 +463,8 @@
 	}
 	q.Class, q.Tenant, q.Retry = class.Name, h.Get("X-Tenant"), h.Get("X-Retry") == "1"
 	q.Budget = class.Deadline
-	if ms, err := strconv.ParseInt(h.Get("X-Deadline-Ms"), 10, 32); err == nil && ms >= 0 { // 0: its time is over, and it is owed an answer at once
+	// 0 is a time too: it is over, and an answer is owed at once.
+	if ms, err := strconv.ParseInt(h.Get("X-Deadline-Ms"), 10, 32); err == nil && ms >= 0 {
 		q.Budget = min(q.Budget, time.Duration(ms)*time.Millisecond)
 	}
 	q.Budget = max(0, q.Budget-answerMargin)
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -48,7 +48,8 @@
 // none has been so for long are closed themselves. Peers that sent nothing once held descriptors without a bound.
 func TestClientConnectionsAreBounded(t *testing.T) {
 	now := time.Hour
-	f := newFrontend(t.Context(), &Config{Sockets: 6}, nil, nil, func() time.Duration { return now }, newFigures(nil), newBudget(0))
+	f := newFrontend(&Config{Sockets: 6}, nil, bench(t, 0))
+	f.now = func() time.Duration { return now }
 	open := func(s http.ConnState) net.Conn {
 		c, peer := net.Pipe()
 		t.Cleanup(func() { c.Close(); peer.Close() })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,7 +21,7 @@
 	life, end := context.WithCancel(context.Background())
 	p := &Proxy{config: c, end: end}
 	p.loop = newLoop(life, &p.config)
-	p.front = newFrontend(life, &p.config, listener, p.loop.post, p.loop.now, p.loop.figures, p.loop.dial.held)
+	p.front = newFrontend(&p.config, listener, p.loop)
 	return p
 }
 
