Send what must not run twice past upstreams that give errors, where others have a turn

Seen on drain: 402 to 977 errors in 5 s, one in four attempts, and 3.8, 4.9, 7.9 and 4.5% of requests failed in the first four windows: classes whose error is final draw the same turns as those that may be sent again. At fault: pick takes the upstream due first, whoever asks.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -965,3 +965,48 @@
 		t.Errorf("a spent one: %v", h.lines)
 	}
 }
+
+// An error is the last word on what must not run twice, so that goes past an upstream whose answers are errors while
+// another has a turn; what may be repeated takes the turns there, and answers bring it back.
+func TestUnsafeGoesPastErrors(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2))
+	now, id := time.Hour, RequestID(0)
+	next := func(class string) (*upstream, func(Status)) {
+		id++
+		b.Request(now, Request{ID: id, Class: class, Budget: time.Second})
+		a := b.requests[id].attempts[0]
+		return a.up, func(s Status) {
+			now += 50 * ms
+			b.Outcome(now, Outcome{ID: a.r.ID, Upstream: a.up.ID, Latency: 50 * ms, Status: s, Closed: true})
+		}
+	}
+	bad, good := b.ups[0], b.ups[1]
+	bad.errors = 2 * errorsMost
+	for range 6 {
+		u, end := next("write")
+		if u == bad {
+			t.Error("an unsafe request went to errors beside a free turn")
+		}
+		end(OK)
+	}
+	if u, end := next("read"); u != bad {
+		t.Error("a safe one left the turns there unused")
+	} else {
+		end(Error)
+	}
+	good.backAt = now + time.Second // no other has a turn
+	for n := 0; bad.errors > errorsMost; n++ {
+		u, end := next("write")
+		if u != bad || n > 20 {
+			t.Fatalf("held back from the only turn, or errors %v after %d answers", u.errors, n)
+		}
+		end(OK)
+	}
+	good.backAt = now
+	bad.due, good.due = 0, 1
+	if u, end := next("write"); u != bad {
+		t.Error("answers do not bring it back")
+	} else {
+		end(OK)
+	}
+}
