--- a/balancer.go
+++ b/balancer.go
@@ -36,7 +36,6 @@
 	calmDrift             = 0.005       // how fast the least slow mean is unlearnt
 	patienceDevs          = 5.0         // deviations over its usual latency before an upstream is silent
 	tipMargin             = 0.6         // part of the cold budget that is used
-	errorsMost            = 0.3         // share of errors over which what must not run twice goes elsewhere
 	sendSpare             = 2.33        // latencies left to the aim of a held request sent, less its late worth
 	budgetNoise           = 16          // a budget shorter by one in this many is a client's later try
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
@@ -251,10 +250,7 @@
 		b.answered(u, now)
 	}
 	switch o.Status {
-	case Error:
-		u.errors += smoothing * (1 - u.errors)
 	case OK:
-		u.errors -= smoothing * u.errors
 		w := max(smoothing, 1-u.bound)                           // the rarer its answers, the more each one tells
 		follow(&u.latDev, math.Abs(float64(o.Latency)-u.lat), w) // at first as large as the mean
 		follow(&u.lat, float64(o.Latency), w)
@@ -490,7 +486,6 @@
 // pick gives the turn to the upstream due first, an even interleave by shares; legal: any may ever take r.
 func (b *Balancer) pick(r *request, now time.Duration) (best *upstream, legal bool) {
 	var total float64
-	var spoilt *upstream // an error would be the last word on r
 	for _, u := range b.near {
 		if !u.member {
 			continue
@@ -498,15 +493,10 @@
 		total += b.share(u, now)
 		may := b.maySend(r, u, now)
 		legal = legal || may
-		to := &best
-		if u.errors > errorsMost && r.class.Repeat == Unsafe {
-			to = &spoilt
-		}
-		if may && (*to == nil || u.due < (*to).due) && b.eligible(u, r, now) {
-			*to = u
+		if may && (best == nil || u.due < best.due) && b.eligible(u, r, now) {
+			best = u
 		}
 	}
-	best = cmp.Or(best, spoilt)
 	if best != nil {
 		b.turn = max(b.turn, best.due)
 		length := total / b.share(best, now)
--- a/state.go
+++ b/state.go
@@ -62,7 +62,6 @@
 	mean, dev, area             float64 // of the window; band gap integrated since the last step
 	readAt, spentAt             time.Duration
 	last                        Load
-	errors                      float64    // running share of errors among its answers
 	outs                        []*attempt // in order of sending
 	lat, latDev, units          float64    // usual latency, its mean deviation, ns; usual work of its answers
 	slow, calm                  float64    // slow mean of the latency for the work; the least of that
