Let a closed request go of its body before its deadline

Found by reading, on the list of what was open: the alarm at a request's deadline keeps the request, and with it up to 64 KiB that the byte budget had been given back. The loop drops the body when the request is closed and has nothing out; each attempt has its own reference until its goroutine has ended. Not taken: removing the alarm from its heap, a search through all alarms for each request.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -295,6 +295,7 @@
 
 func (e finished) apply(l *loop) {
 	a := e.attempt
+	a.message, a.head = message{}, nil // an alarm may keep the attempt
 	delete(a.peer.out, a)
 	if s := e.result.more; s == nil {
 		l.keep(a.peer, e.result.conn)
@@ -370,10 +371,11 @@
 	l.release(r)
 }
 
-// release forgets a request that is closed and has nothing out.
+// release forgets a request that is closed and has nothing out. Its alarm stays until its deadline, but not its body.
 func (l *loop) release(r *request) {
 	if r.closed && r.out == 0 {
 		delete(l.requests, r.ID)
+		r.message = message{}
 	}
 }
 
@@ -413,9 +415,9 @@
 	default:
 		l.conns++
 	}
-	p.out[a] = struct{}{}
+	p.out[a], a.message = struct{}{}, r.message
 	go func() {
-		a.head = r.message.head(wait)
+		a.head = a.message.head(wait)
 		res := l.dial.run(a)
 		l.post(finished{a, res})
 	}()
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"container/heap"
 	"context"
 	"encoding/json"
 	"net"
@@ -108,3 +109,36 @@
 		}
 	}
 }
+
+// The alarm of a closed request stays until its deadline. It kept the body all that time, beside a budget that had it
+// given back.
+func TestClosedRequestLetsGoOfItsBody(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool { <-release; return okAll(c, r) })
+	l := bench(t, 10)
+	join(l, 1, s)
+	r := l.request(1)
+	r.message.body = []byte("body")
+	l.alarm(alarm{at: r.deadline, request: r})
+	l.Send(1, 1, 0)
+	a := r.attempts[0]
+	<-s.arrivals
+	l.Fail(1)
+	want(t, "held while an attempt is out", len(r.message.body), 4)
+	close(release)
+	for e := range l.events {
+		e.apply(l)
+		if e, ok := e.(finished); ok && e.attempt == a {
+			break
+		}
+	}
+	want(t, "held by the request", r.message.body == nil, true)
+	want(t, "held by the attempt", a.message.body == nil && a.head == nil, true)
+	for len(l.alarms) > 0 { // what is left of it goes off in good order
+		if x := heap.Pop(&l.alarms).(alarm); x.request != nil {
+			for _, a := range x.request.attempts {
+				l.expire(a)
+			}
+		}
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -281,7 +281,7 @@
 					h.Set("Idempotency-Key", "1")
 				}
 				m := message{line: "POST /x", host: "x", header: h}
-				return d.run(&attempt{req: &request{message: m}, peer: p, address: s.addr, conn: c, head: m.head(time.Second)})
+				return d.run(&attempt{req: &request{}, message: m, peer: p, address: s.addr, conn: c, head: m.head(time.Second)})
 			}
 			first := send(nil)
 			want(t, "first", first.status, clayladder.OK)
@@ -308,7 +308,7 @@
 	}
 	run := func(c *conn) result {
 		m := message{line: "POST /x", host: "x"}
-		return d.run(&attempt{req: &request{message: m}, peer: &peer{}, address: s.addr, conn: c, head: m.head(time.Second)})
+		return d.run(&attempt{req: &request{}, message: m, peer: &peer{}, address: s.addr, conn: c, head: m.head(time.Second)})
 	}
 	r := run(c)
 	want(t, "first", r.status, clayladder.OK)
@@ -351,7 +351,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newServer(t, c.answer)
 			m := message{line: "POST /x", host: "x", body: []byte("b")}
-			r := testDialer().run(&attempt{req: &request{message: m}, peer: &peer{}, address: s.addr, head: m.head(time.Second)})
+			r := testDialer().run(&attempt{req: &request{}, message: m, peer: &peer{}, address: s.addr, head: m.head(time.Second)})
 			want(t, "status", any(r.status), c.status)
 			want(t, "kept", r.conn != nil, c.keeps)
 			if c.status == clayladder.OK {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -73,7 +73,8 @@
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	req     *request
-	n       int // order of the request's sends, from 0
+	message message // the request's, which lets go of its own once it is closed
+	n       int     // order of the request's sends, from 0
 	peer    *peer
 	sentAt  time.Duration
 	address string
@@ -155,7 +156,7 @@
 
 // write puts the message on the wire, an upload as it comes. sent tells whether its last byte is written.
 func (d dialer) write(a *attempt, c *conn) (sent, spent bool, err error) {
-	m := &a.req.message
+	m := &a.message
 	message := net.Buffers{a.head, m.body}
 	size := int64(len(a.head) + len(m.body))
 	if m.rest == nil {
@@ -235,7 +236,7 @@
 	case err == errClient:
 		c.Close()
 		return result{status: clayladder.Moot, spent: true}
-	case a.req.message.rest != nil: // it may have said why it takes no more
+	case a.message.rest != nil: // it may have said why it takes no more
 		c.SetReadDeadline(time.Now().Add(d.timeout))
 		if r := d.answer(c); r.status == clayladder.Full {
 			if r.conn != nil {
