Give the program its own name: module path and root package sprucehill

The module and its root package still bore the name under which the program was taken over. Names of binaries, run and sim stay.

--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package clayladder makes the decisions of a load-balancing proxy for fleets of
+// Package sprucehill makes the decisions of a load-balancing proxy for fleets of
 // HTTP servers: which upstream gets a request, whether it is sent again, held,
 // refused or failed, and how the upstream list is followed. It does no I/O.
 //
@@ -17,7 +17,7 @@
 //
 // Every request gets exactly one final answer: a successful Outcome, Refuse or
 // Fail. Refuse promises the client that another try is harmless.
-package clayladder
+package sprucehill
 
 import "time"
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,4 +1,4 @@
-package clayladder
+package sprucehill
 
 import (
 	"bytes"
--- a/cmd/clayladder-sim/main.go
+++ b/cmd/clayladder-sim/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"clayladder"
-	"clayladder/internal/wire"
+	"sprucehill"
+	"sprucehill/internal/wire"
 )
 
 func main() {
@@ -23,7 +23,7 @@
 // run answers batches until the end of input.
 func run(in io.Reader, out io.Writer) error {
 	reader, writer := wire.NewReader(in), wire.NewWriter(out)
-	instances := map[int]*clayladder.Balancer{}
+	instances := map[int]*sprucehill.Balancer{}
 	var batch wire.Batch
 	for {
 		err := reader.Next(&batch)
@@ -43,7 +43,7 @@
 }
 
 // deliver hands one event to its instance; a panic ends the day with its text.
-func deliver(instances map[int]*clayladder.Balancer, w *wire.Writer, now time.Duration, e *wire.Event) {
+func deliver(instances map[int]*sprucehill.Balancer, w *wire.Writer, now time.Duration, e *wire.Event) {
 	defer func() {
 		if p := recover(); p != nil {
 			wire.NewPort(w, e.Instance).Crash(fmt.Sprint(p))
@@ -52,7 +52,7 @@
 	}()
 	if e.Kind == wire.Attach {
 		port := wire.NewPort(w, e.Instance)
-		b, err := clayladder.New(e.Settings, e.Seed, now, port)
+		b, err := sprucehill.New(e.Settings, e.Seed, now, port)
 		if err != nil {
 			port.Crash(err.Error())
 			return
--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -14,8 +14,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"clayladder/internal/management"
-	"clayladder/internal/proxy"
+	"sprucehill/internal/management"
+	"sprucehill/internal/proxy"
 )
 
 func main() {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"clayladder"
-	"clayladder/internal/wire"
+	"sprucehill"
+	"sprucehill/internal/wire"
 )
 
 // Config is what a balancer is told at its start.
@@ -28,7 +28,7 @@
 	MemoryMB   int
 	Sockets    int
 	Known      listing // the upstreams as last held, maybe stale
-	Settings   clayladder.Settings
+	Settings   sprucehill.Settings
 	Links      wire.Links
 }
 
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"clayladder"
+	"sprucehill"
 )
 
 const (
@@ -47,7 +47,7 @@
 	UpSinceMS int64   `json:"up_since_ms"`
 }
 
-var phases = map[string]clayladder.State{"up": clayladder.Active, "draining": clayladder.Draining, "removed": clayladder.Gone}
+var phases = map[string]sprucehill.State{"up": sprucehill.Active, "draining": sprucehill.Draining, "removed": sprucehill.Gone}
 
 // check tells what makes the entry unusable.
 func (m *member) check() error {
@@ -57,7 +57,7 @@
 		return fmt.Errorf("an entry has no id")
 	case !ok:
 		return fmt.Errorf("%s: phase %q is unknown", m.ID, m.Phase)
-	case state == clayladder.Gone:
+	case state == sprucehill.Gone:
 		return nil
 	}
 	if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
@@ -67,8 +67,8 @@
 }
 
 // upstream is the entry as the module takes it.
-func (m *member) upstream(id clayladder.UpstreamID) clayladder.Upstream {
-	return clayladder.Upstream{ID: id, Zone: m.Locality, Cell: m.Cell, Weight: m.Size, State: phases[m.Phase],
+func (m *member) upstream(id sprucehill.UpstreamID) sprucehill.Upstream {
+	return sprucehill.Upstream{ID: id, Zone: m.Locality, Cell: m.Cell, Weight: m.Size, State: phases[m.Phase],
 		StartedAt: time.Duration(m.UpSinceMS) * time.Millisecond} // the loop's clock is Unix time at its start, so 0 stays 0
 }
 
@@ -80,15 +80,15 @@
 // differ at most in which of two such ids came first: their rings differ then, but
 // no two upstreams are ever mixed up. An id keeps its number while the process lives.
 type names struct {
-	ids   map[string]clayladder.UpstreamID
-	taken map[clayladder.UpstreamID]bool
+	ids   map[string]sprucehill.UpstreamID
+	taken map[sprucehill.UpstreamID]bool
 }
 
 func newNames() *names {
-	return &names{ids: map[string]clayladder.UpstreamID{}, taken: map[clayladder.UpstreamID]bool{}}
+	return &names{ids: map[string]sprucehill.UpstreamID{}, taken: map[sprucehill.UpstreamID]bool{}}
 }
 
-func (n *names) id(text string) clayladder.UpstreamID {
+func (n *names) id(text string) sprucehill.UpstreamID {
 	if id, ok := n.ids[text]; ok {
 		return id
 	}
@@ -100,19 +100,19 @@
 	return id
 }
 
-func plainID(text string) clayladder.UpstreamID {
+func plainID(text string) sprucehill.UpstreamID {
 	if digits, ok := strings.CutPrefix(text, "s-"); ok {
 		if x, err := strconv.ParseUint(digits, 16, 32); err == nil {
-			return clayladder.UpstreamID(x)
+			return sprucehill.UpstreamID(x)
 		}
 	}
 	return hashed(text)
 }
 
-func hashed(text string) clayladder.UpstreamID {
+func hashed(text string) sprucehill.UpstreamID {
 	h := fnv.New32a()
 	io.WriteString(h, text) // never fails
-	return clayladder.UpstreamID(h.Sum32())
+	return sprucehill.UpstreamID(h.Sum32())
 }
 
 // discovery asks for the list of upstreams and posts what it hears. It never asks
--- a/internal/proxy/figures.go
+++ b/internal/proxy/figures.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"clayladder"
-	"clayladder/internal/metrics"
+	"sprucehill"
+	"sprucehill/internal/metrics"
 )
 
 // publishEvery is how often the loop tells the gauges that only it knows.
@@ -24,7 +24,7 @@
 // outcomes counts the requests of a class by their one final answer.
 type outcomes struct{ passed, dropped, badGateway *metrics.Counter }
 
-func newFigures(classes []clayladder.Class) *figures {
+func newFigures(classes []sprucehill.Class) *figures {
 	f := &figures{classes: map[string]outcomes{}}
 	for _, c := range classes {
 		category := metrics.Label{Name: "category", Value: c.Name}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"clayladder"
+	"sprucehill"
 )
 
 const (
@@ -53,7 +53,7 @@
 	life     context.Context // ends what the frontend has started
 	figures  *figures
 	held     *budget // of bodies, the loop's
-	classes  map[string]clayladder.Class
+	classes  map[string]sprucehill.Class
 	post     func(event)
 	leaving  atomic.Bool
 	draining atomic.Bool
@@ -75,7 +75,7 @@
 }
 
 func newFrontend(c *Config, l net.Listener, to *loop) *frontend {
-	f := &frontend{life: to.ctx, figures: to.figures, held: to.dial.held, classes: map[string]clayladder.Class{},
+	f := &frontend{life: to.ctx, figures: to.figures, held: to.dial.held, classes: map[string]sprucehill.Class{},
 		post: to.post, listener: framedListener{l, to.now}, longest: c.longest(), maxOpen: c.clientConns(),
 		adopted: c.Adopts(), now: to.now, conns: map[net.Conn]clientConn{}}
 	for _, class := range c.Settings.Classes {
@@ -418,10 +418,10 @@
 		return bad("the path does not begin with the class")
 	case len(h["X-Request-Id"]) != 1 || h.Get("X-Request-Id") == "":
 		return bad("one X-Request-Id is wanted")
-	case (class.Repeat == clayladder.Safe) != (r.Method == http.MethodGet),
-		class.Repeat != clayladder.Safe && r.Method != http.MethodPost:
+	case (class.Repeat == sprucehill.Safe) != (r.Method == http.MethodGet),
+		class.Repeat != sprucehill.Safe && r.Method != http.MethodPost:
 		return bad("the method does not fit the class")
-	case (class.Repeat == clayladder.Keyed) != (h.Get("Idempotency-Key") != ""):
+	case (class.Repeat == sprucehill.Keyed) != (h.Get("Idempotency-Key") != ""):
 		return bad("Idempotency-Key does not fit the class")
 	}
 	u := &upload{body: r.Body, control: http.NewResponseController(w), credit: slowClient,
@@ -442,7 +442,7 @@
 		more = !whole
 		at = f.now() // it counts from its last byte
 	}
-	if class.Repeat == clayladder.Safe && len(body) > 0 {
+	if class.Repeat == sprucehill.Safe && len(body) > 0 {
 		f.held.give(cap(body))
 		return bad("a GET has no body")
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"clayladder"
+	"sprucehill"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // request is a client's request. The frontend fills it in; from then on it is the loop's.
 type request struct {
-	clayladder.Request
+	sprucehill.Request
 	message  message
 	at       time.Duration // when its last byte had come, or of an upload what is held
 	reply    chan answer   // holds the one answer
@@ -38,9 +38,9 @@
 
 // peer is what the loop knows of an upstream's address and connections.
 type peer struct {
-	id      clayladder.UpstreamID
+	id      sprucehill.UpstreamID
 	address string
-	state   clayladder.State
+	state   sprucehill.State
 	idle    []*conn // the most recently used last
 	out     map[*attempt]struct{}
 }
@@ -73,7 +73,7 @@
 // loop owns the Balancer, from one goroutine. Everything here runs on that goroutine but for post, now and what is
 // started with go. It never waits for anything but its channels.
 type loop struct {
-	balancer  *clayladder.Balancer
+	balancer  *sprucehill.Balancer
 	ctx       context.Context
 	events    chan event
 	lists     chan listed // taken before any event: no send after a drain that has been told
@@ -83,7 +83,7 @@
 	discovery *discovery
 	stopWatch context.CancelFunc
 	dial      dialer
-	settings  clayladder.Settings
+	settings  sprucehill.Settings
 	idleFor   time.Duration
 	maxConns  int
 
@@ -91,8 +91,8 @@
 	revision uint64
 	serial   uint64
 	alarms   alarms
-	requests map[clayladder.RequestID]*request
-	peers    map[clayladder.UpstreamID]*peer
+	requests map[sprucehill.RequestID]*request
+	peers    map[sprucehill.UpstreamID]*peer
 	conns    int     // connections to upstreams, open or opening
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
@@ -105,16 +105,16 @@
 // owing is an outcome to tell as soon as the module has returned.
 type owing struct {
 	a      *attempt
-	status clayladder.Status
+	status sprucehill.Status
 }
 
-var _ clayladder.Host = (*loop)(nil)
+var _ sprucehill.Host = (*loop)(nil)
 
 func newLoop(ctx context.Context, c *Config) *loop {
 	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
 		origin: time.Now(), settings: c.Settings, figures: newFigures(c.Settings.Classes),
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
-		names: newNames(), requests: map[clayladder.RequestID]*request{}, peers: map[clayladder.UpstreamID]*peer{},
+		names: newNames(), requests: map[sprucehill.RequestID]*request{}, peers: map[sprucehill.UpstreamID]*peer{},
 		stopWatch: func() {}}
 	l.dial = dialer{timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes())}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
@@ -146,10 +146,10 @@
 // start makes the Balancer and tells it the upstreams that were known before.
 func (l *loop) start(c *Config) error {
 	var err error
-	if l.balancer, err = clayladder.New(c.Settings, c.Seed, l.now(), l); err != nil {
+	if l.balancer, err = sprucehill.New(c.Settings, c.Seed, l.now(), l); err != nil {
 		return err
 	}
-	l.members(clayladder.ListCached, c.Known)
+	l.members(sprucehill.ListCached, c.Known)
 	if !c.Settings.OnRequest { // lists that are pushed come without the module's asking
 		l.Watch(true)
 	}
@@ -234,7 +234,7 @@
 func (e arrived) apply(l *loop) {
 	l.serial++
 	r := e.request
-	r.ID = clayladder.RequestID(l.serial) // the module's own: what clients send need not be unique
+	r.ID = sprucehill.RequestID(l.serial) // the module's own: what clients send need not be unique
 	now := l.now()
 	l.requests[r.ID] = r
 	if r.Upload {
@@ -315,13 +315,13 @@
 	}
 	a.told = true
 	q, now := a.req, l.now()
-	if served = r.status == clayladder.OK && !q.closed; served {
+	if served = r.status == sprucehill.OK && !q.closed; served {
 		l.answer(q, answer{status: http.StatusOK, body: r.body, kind: r.kind, more: r.more})
 	}
 	q.out--
 	closed := q.closed
 	l.release(q)
-	l.balancer.Outcome(now, clayladder.Outcome{ID: q.ID, Upstream: a.peer.id, Attempt: a.n, Latency: now - a.sentAt,
+	l.balancer.Outcome(now, sprucehill.Outcome{ID: q.ID, Upstream: a.peer.id, Attempt: a.n, Latency: now - a.sentAt,
 		Status: r.status, Closed: closed, Spent: r.spent, Load: r.load})
 	return served
 }
@@ -337,12 +337,12 @@
 }
 
 // end stops waiting for an attempt. One that was never written is moot.
-func (l *loop) end(a *attempt, status clayladder.Status) {
+func (l *loop) end(a *attempt, status sprucehill.Status) {
 	if a.told {
 		return
 	}
 	if a.drop() {
-		status = clayladder.Moot
+		status = sprucehill.Moot
 	} else if a.stage.Load() == claimed {
 		a.given.Store(true)
 		a.conn.SetDeadline(time.Unix(0, 1)) // its connection is closed: that tells the upstream to stop, and frees its room
@@ -353,7 +353,7 @@
 // expire ends an attempt whose time is up.
 func (l *loop) expire(a *attempt) {
 	if !a.told {
-		l.end(a, clayladder.Timeout)
+		l.end(a, sprucehill.Timeout)
 	}
 }
 
@@ -382,7 +382,7 @@
 // --- Host: what the module asks for ---
 
 // Send makes an attempt.
-func (l *loop) Send(id clayladder.RequestID, up clayladder.UpstreamID, timeout time.Duration) {
+func (l *loop) Send(id sprucehill.RequestID, up sprucehill.UpstreamID, timeout time.Duration) {
 	r, p := l.requests[id], l.peers[up]
 	if r == nil || p == nil { // the module sends what it was told of, where it was told
 		l.Log(fmt.Sprintf("send of unknown request %d or upstream %d", id, up))
@@ -401,16 +401,16 @@
 		l.alarm(alarm{at: now + timeout, attempt: a})
 	}
 	switch {
-	case r.closed || wait <= 0 || p.state != clayladder.Active:
+	case r.closed || wait <= 0 || p.state != sprucehill.Active:
 		a.drop()
-		l.due = append(l.due, owing{a, clayladder.Moot})
+		l.due = append(l.due, owing{a, sprucehill.Moot})
 		return
 	case len(p.idle) > 0:
 		a.conn = p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 	case !l.room():
 		a.drop()
-		l.due = append(l.due, owing{a, clayladder.Moot}) // nothing of its upstream's
+		l.due = append(l.due, owing{a, sprucehill.Moot}) // nothing of its upstream's
 		return
 	default:
 		l.conns++
@@ -424,7 +424,7 @@
 }
 
 // Refuse answers a client that another try is harmless.
-func (l *loop) Refuse(id clayladder.RequestID, retryAfter time.Duration) {
+func (l *loop) Refuse(id sprucehill.RequestID, retryAfter time.Duration) {
 	if r := l.requests[id]; r != nil {
 		if !l.settings.Limits.RetryAfter {
 			retryAfter = 0
@@ -434,7 +434,7 @@
 }
 
 // Fail answers a client with no promise.
-func (l *loop) Fail(id clayladder.RequestID) {
+func (l *loop) Fail(id sprucehill.RequestID) {
 	if r := l.requests[id]; r != nil {
 		status := http.StatusBadGateway
 		if l.now() >= r.deadline {
@@ -445,9 +445,9 @@
 }
 
 // Cancel stops waiting for an attempt.
-func (l *loop) Cancel(id clayladder.RequestID, n int) {
+func (l *loop) Cancel(id sprucehill.RequestID, n int) {
 	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
-		l.due = append(l.due, owing{r.attempts[n], clayladder.Cancelled})
+		l.due = append(l.due, owing{r.attempts[n], sprucehill.Cancelled})
 	}
 }
 
@@ -503,12 +503,12 @@
 func (l *loop) Fetch() { go l.discovery.fetch(l.ctx) }
 
 // Probe asks an upstream for its load.
-func (l *loop) Probe(up clayladder.UpstreamID) {
+func (l *loop) Probe(up sprucehill.UpstreamID) {
 	p := l.peers[up]
-	if p == nil || p.state != clayladder.Active || (len(p.idle) == 0 && !l.room()) {
+	if p == nil || p.state != sprucehill.Active || (len(p.idle) == 0 && !l.room()) {
 		return
 	}
-	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != clayladder.ReportNone}
+	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != sprucehill.ReportNone}
 	if n := len(p.idle); n > 0 {
 		b.conn, p.idle = p.idle[n-1], p.idle[:n-1]
 	} else {
@@ -529,7 +529,7 @@
 func (e probed) apply(l *loop) {
 	l.keep(e.peer, e.result.conn)
 	now := l.now()
-	l.balancer.Probed(now, clayladder.ProbeResult{Upstream: e.peer.id, Latency: now - e.sentAt, Status: e.status, Load: e.result.load})
+	l.balancer.Probed(now, sprucehill.ProbeResult{Upstream: e.peer.id, Latency: now - e.sentAt, Status: e.status, Load: e.result.load})
 }
 
 // --- Connections ---
@@ -539,7 +539,7 @@
 	switch {
 	case c == nil:
 		l.conns--
-	case l.leaving || p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
+	case l.leaving || p.state != sprucehill.Active || c.RemoteAddr().String() != p.address:
 		l.shut(c)
 	case c.SetDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
 		l.shut(c)
@@ -596,7 +596,7 @@
 }
 
 // Disconnect closes the idle connections to an upstream.
-func (l *loop) Disconnect(up clayladder.UpstreamID) {
+func (l *loop) Disconnect(up sprucehill.UpstreamID) {
 	if p := l.peers[up]; p != nil {
 		l.shut(p.idle...)
 		p.idle = nil
@@ -615,7 +615,7 @@
 
 // forget drops an upstream that is gone and has nothing out.
 func (l *loop) forget(p *peer) {
-	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
+	if p.state == sprucehill.Gone && len(p.out) == 0 && l.peers[p.id] == p {
 		delete(l.peers, p.id)
 	}
 }
@@ -629,23 +629,23 @@
 		return
 	case x.err != nil:
 		l.Log(x.err.Error())
-		l.balancer.Members(l.now(), clayladder.ListFailed, nil)
+		l.balancer.Members(l.now(), sprucehill.ListFailed, nil)
 	case x.Revision < l.revision: // overtaken by a newer one: it must not undo that
 		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
 	case x.Complete:
-		l.members(clayladder.ListFull, x.listing)
+		l.members(sprucehill.ListFull, x.listing)
 	default:
-		l.members(clayladder.ListDelta, x.listing)
+		l.members(sprucehill.ListDelta, x.listing)
 	}
 	l.settle()
 }
 
 // members applies a list: first to the peers, so that nothing goes to one that drains, then to the module, which
 // may send at once.
-func (l *loop) members(mode clayladder.ListMode, x listing) {
+func (l *loop) members(mode sprucehill.ListMode, x listing) {
 	l.revision = x.Revision
-	list := make([]clayladder.Upstream, 0, len(x.Members))
-	named := make(map[clayladder.UpstreamID]bool, len(x.Members))
+	list := make([]sprucehill.Upstream, 0, len(x.Members))
+	named := make(map[sprucehill.UpstreamID]bool, len(x.Members))
 	for i := range x.Members {
 		m := &x.Members[i]
 		u := m.upstream(l.names.id(m.ID))
@@ -654,14 +654,14 @@
 		l.peer(u, m.HostPort)
 	}
 	for id, p := range l.peers {
-		if mode != clayladder.ListDelta && !named[id] {
-			p.state = clayladder.Gone
+		if mode != sprucehill.ListDelta && !named[id] {
+			p.state = sprucehill.Gone
 			l.Disconnect(id)
 		}
-		if p.state != clayladder.Active {
+		if p.state != sprucehill.Active {
 			for a := range p.out {
 				if a.drop() { // its upstream left while it waited for a connection
-					l.due = append(l.due, owing{a, clayladder.Moot})
+					l.due = append(l.due, owing{a, sprucehill.Moot})
 				}
 			}
 		}
@@ -675,19 +675,19 @@
 }
 
 // peer applies a list's entry.
-func (l *loop) peer(u clayladder.Upstream, address string) {
+func (l *loop) peer(u sprucehill.Upstream, address string) {
 	p := l.peers[u.ID]
 	if p == nil {
-		if u.State == clayladder.Gone {
+		if u.State == sprucehill.Gone {
 			return
 		}
 		p = &peer{id: u.ID, out: map[*attempt]struct{}{}}
 		l.peers[u.ID] = p
 	}
-	if p.state = u.State; u.State != clayladder.Active || (address != p.address && p.address != "") {
+	if p.state = u.State; u.State != sprucehill.Active || (address != p.address && p.address != "") {
 		l.Disconnect(u.ID)
 	}
-	if u.State != clayladder.Gone {
+	if u.State != sprucehill.Gone {
 		p.address = address
 	}
 }
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"clayladder"
+	"sprucehill"
 )
 
 // bench is a loop that does not run: its methods are called one by one, and what it is told is in its events.
@@ -32,13 +32,13 @@
 }
 
 // join adds an upstream to a loop.
-func join(l *loop, id clayladder.UpstreamID, s *server) *peer {
+func join(l *loop, id sprucehill.UpstreamID, s *server) *peer {
 	l.peers[id] = &peer{id: id, address: s.addr, out: map[*attempt]struct{}{}}
 	return l.peers[id]
 }
 
 // request adds a request to a loop.
-func (l *loop) request(id clayladder.RequestID) *request {
+func (l *loop) request(id sprucehill.RequestID) *request {
 	r := &request{reply: make(chan answer, 1), deadline: l.now() + time.Minute,
 		message: message{line: "POST /x", host: "x", header: http.Header{}}}
 	r.ID = id
@@ -67,7 +67,7 @@
 	join(l, 3, three)
 	c := idle(t, l, older, l.now()-2*time.Second)
 	idle(t, l, newer, l.now()-time.Second)
-	for id := range clayladder.RequestID(3) {
+	for id := range sprucehill.RequestID(3) {
 		l.request(id)
 		l.Send(id, 3, 0)
 		if id < 2 {
@@ -75,7 +75,7 @@
 		}
 	}
 	want(t, "attempts unsent", len(l.due), 1) // the third found no room, and nothing idle
-	want(t, "its outcome", l.due[0].status, clayladder.Moot)
+	want(t, "its outcome", l.due[0].status, sprucehill.Moot)
 	want(t, "idle", len(older.idle)+len(newer.idle), 0)
 	want(t, "connections", l.conns, 2)
 	c.SetReadDeadline(time.Now().Add(10 * time.Second))
@@ -103,7 +103,7 @@
 		a := &attempt{req: l.request(1), peer: p, conn: &conn{Conn: d}}
 		a.req.out, a.req.closed = 1, closed
 		a.stage.Store(claimed)
-		l.end(a, clayladder.Cancelled)
+		l.end(a, sprucehill.Cancelled)
 		if d.at.IsZero() || d.at.After(time.Now()) {
 			t.Errorf("request closed %v: deadline %v, want one that has passed", closed, d.at)
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"clayladder"
-	"clayladder/internal/metrics"
+	"sprucehill"
+	"sprucehill/internal/metrics"
 )
 
 // settingsText has a class of each kind. Discovery is asked again at once after a failure.
@@ -284,8 +284,8 @@
 				return d.run(&attempt{req: &request{}, message: m, peer: p, address: s.addr, conn: c, head: m.head(time.Second)})
 			}
 			first := send(nil)
-			want(t, "first", first.status, clayladder.OK)
-			want(t, "second", send(first.conn).status, clayladder.Reset)
+			want(t, "first", first.status, sprucehill.OK)
+			want(t, "second", send(first.conn).status, sprucehill.Reset)
 			want(t, "requests written", len(s.arrivals), 2)
 			want(t, "connections", s.opened(), 1)
 		})
@@ -311,12 +311,12 @@
 		return d.run(&attempt{req: &request{}, message: m, peer: &peer{}, address: s.addr, conn: c, head: m.head(time.Second)})
 	}
 	r := run(c)
-	want(t, "first", r.status, clayladder.OK)
+	want(t, "first", r.status, sprucehill.OK)
 	<-closed
 	if _, err := r.conn.in.Peek(1); err == nil { // the end has come
 		t.Fatal("bytes on an idle connection")
 	}
-	want(t, "second", run(r.conn).status, clayladder.OK)
+	want(t, "second", run(r.conn).status, sprucehill.OK)
 	want(t, "connections", s.opened(), 2)
 }
 
@@ -330,23 +330,23 @@
 		status any
 		keeps  bool
 	}{
-		{"served", raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: util=0.5\r\n\r\nab", true), clayladder.OK, true},
-		{"served in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", true), clayladder.OK, true},
-		{"served, then closed", raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab", false), clayladder.OK, false},
-		{"served after a 1xx", raw("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true), clayladder.OK, true},
-		{"error", raw("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", true), clayladder.Error, true},
-		{"503 that may have run", raw("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true), clayladder.Error, true},
-		{"503 not run", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), clayladder.Full, true},
-		{"504 not run", raw("HTTP/1.1 504 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), clayladder.Full, true},
-		{"502 not run is not in the table", raw("HTTP/1.1 502 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), clayladder.Error, true},
-		{"closed without an answer", raw("", false), clayladder.Reset, false},
-		{"cut short", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", false), clayladder.Reset, false},
-		{"cut short in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false), clayladder.Reset, false},
-		{"a head of 2 MB", raw("HTTP/1.1 200 OK\r\n"+strings.Repeat("X-Pad: "+strings.Repeat("x", 1000)+"\r\n", 2000)+"Content-Length: 2\r\n\r\nab", false), clayladder.Reset, false},
-		{"1xx on and on", raw(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 80000)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false), clayladder.Reset, false},
-		{"no HTTP", raw("what?\r\n\r\n", false), clayladder.Reset, false},
-		{"a large error", raw("HTTP/1.1 500 X\r\nContent-Length: 65537\r\n\r\n"+strings.Repeat("x", maxBody+1), true), clayladder.Error, false},
-		{"503 not run, large", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nConnection: close\r\n\r\n"+strings.Repeat("x", maxBody+1), false), clayladder.Full, false},
+		{"served", raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: util=0.5\r\n\r\nab", true), sprucehill.OK, true},
+		{"served in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", true), sprucehill.OK, true},
+		{"served, then closed", raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab", false), sprucehill.OK, false},
+		{"served after a 1xx", raw("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true), sprucehill.OK, true},
+		{"error", raw("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", true), sprucehill.Error, true},
+		{"503 that may have run", raw("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true), sprucehill.Error, true},
+		{"503 not run", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), sprucehill.Full, true},
+		{"504 not run", raw("HTTP/1.1 504 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), sprucehill.Full, true},
+		{"502 not run is not in the table", raw("HTTP/1.1 502 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), sprucehill.Error, true},
+		{"closed without an answer", raw("", false), sprucehill.Reset, false},
+		{"cut short", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", false), sprucehill.Reset, false},
+		{"cut short in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false), sprucehill.Reset, false},
+		{"a head of 2 MB", raw("HTTP/1.1 200 OK\r\n"+strings.Repeat("X-Pad: "+strings.Repeat("x", 1000)+"\r\n", 2000)+"Content-Length: 2\r\n\r\nab", false), sprucehill.Reset, false},
+		{"1xx on and on", raw(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 80000)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false), sprucehill.Reset, false},
+		{"no HTTP", raw("what?\r\n\r\n", false), sprucehill.Reset, false},
+		{"a large error", raw("HTTP/1.1 500 X\r\nContent-Length: 65537\r\n\r\n"+strings.Repeat("x", maxBody+1), true), sprucehill.Error, false},
+		{"503 not run, large", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nConnection: close\r\n\r\n"+strings.Repeat("x", maxBody+1), false), sprucehill.Full, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newServer(t, c.answer)
@@ -354,7 +354,7 @@
 			r := testDialer().run(&attempt{req: &request{}, message: m, peer: &peer{}, address: s.addr, head: m.head(time.Second)})
 			want(t, "status", any(r.status), c.status)
 			want(t, "kept", r.conn != nil, c.keeps)
-			if c.status == clayladder.OK {
+			if c.status == sprucehill.OK {
 				want(t, "body", string(r.body), "ab")
 			}
 		})
@@ -368,14 +368,14 @@
 	}
 	l.Close()
 	d := testDialer()
-	want(t, "refused", d.run(&attempt{address: l.Addr().String()}).status, clayladder.ConnectFailed)
+	want(t, "refused", d.run(&attempt{address: l.Addr().String()}).status, sprucehill.ConnectFailed)
 
 	// What waits for its connection when its request ends or its upstream leaves is not sent any more.
 	s := newServer(t, okAll)
 	a := &attempt{address: s.addr, head: []byte("POST /x HTTP/1.1\r\n\r\n")}
 	want(t, "dropped", a.drop(), true)
 	r := d.run(a)
-	want(t, "status", r.status, clayladder.Moot)
+	want(t, "status", r.status, sprucehill.Moot)
 	want(t, "still of use", r.conn != nil && r.conn.fresh() == nil, true)
 	want(t, "requests written", len(s.arrivals), 0)
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -15,9 +15,9 @@
 	"syscall"
 	"time"
 
-	"clayladder"
-	"clayladder/internal/metrics"
-	"clayladder/internal/wire"
+	"sprucehill"
+	"sprucehill/internal/metrics"
+	"sprucehill/internal/wire"
 )
 
 // This file carries out one attempt on one connection. http.Transport is not used
@@ -91,8 +91,8 @@
 
 // result is how an attempt ended, with its connection if that can serve again.
 type result struct {
-	status clayladder.Status
-	load   clayladder.Load
+	status sprucehill.Status
+	load   sprucehill.Load
 	body   []byte
 	kind   string // the body's Content-Type
 	conn   *conn
@@ -216,11 +216,11 @@
 func (d dialer) run(a *attempt) result {
 	c, err := d.connect(a.conn, a.address)
 	if err != nil {
-		return result{status: clayladder.ConnectFailed}
+		return result{status: sprucehill.ConnectFailed}
 	}
 	a.conn = c
 	if !a.stage.CompareAndSwap(waiting, claimed) { // dropped: its request ended or its upstream left
-		return result{status: clayladder.Moot, conn: c}
+		return result{status: sprucehill.Moot, conn: c}
 	}
 	sent, spent, err := d.write(a, c)
 	switch {
@@ -231,24 +231,24 @@
 		}
 		if err != nil {
 			c.Close()
-			return result{status: clayladder.Reset, spent: spent}
+			return result{status: sprucehill.Reset, spent: spent}
 		}
 	case err == errClient:
 		c.Close()
-		return result{status: clayladder.Moot, spent: true}
+		return result{status: sprucehill.Moot, spent: true}
 	case a.message.rest != nil: // it may have said why it takes no more
 		c.SetReadDeadline(time.Now().Add(d.timeout))
-		if r := d.answer(c); r.status == clayladder.Full {
+		if r := d.answer(c); r.status == sprucehill.Full {
 			if r.conn != nil {
 				r.conn.Close()
 			}
 			return result{status: r.status, load: r.load, spent: spent}
 		}
 		c.Close()
-		return result{status: clayladder.ConnectFailed, spent: spent}
+		return result{status: sprucehill.ConnectFailed, spent: spent}
 	default: // certain: the last byte never left this process
 		c.Close()
-		return result{status: clayladder.ConnectFailed}
+		return result{status: sprucehill.ConnectFailed}
 	}
 	r := d.answer(c)
 	r.spent = spent
@@ -264,21 +264,21 @@
 	}
 	if err != nil {
 		c.Close()
-		return result{status: clayladder.Reset}
+		return result{status: sprucehill.Reset}
 	}
-	r := result{status: clayladder.Error, load: loadOf(resp.Header.Get("X-Load"))}
+	r := result{status: sprucehill.Error, load: loadOf(resp.Header.Get("X-Load"))}
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		r.status, r.kind = clayladder.OK, resp.Header.Get("Content-Type")
+		r.status, r.kind = sprucehill.OK, resp.Header.Get("Content-Type")
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Run") == "1": // without that mark it may have run
-		r.status = clayladder.Full
+		r.status = sprucehill.Full
 	}
 	began := time.Now()
 	body, whole, err := d.held.hold(resp.Body, resp.ContentLength, func() bool {
 		return resp.ContentLength > maxBody || (resp.ContentLength < 0 && time.Since(began) > passOn)
 	})
-	if err == nil && r.status == clayladder.OK {
+	if err == nil && r.status == sprucehill.OK {
 		r.body = body
 	} else {
 		d.held.give(cap(body))
@@ -286,8 +286,8 @@
 	switch {
 	case err != nil:
 		c.Close()
-		return result{status: clayladder.Reset}
-	case !whole && r.status == clayladder.OK:
+		return result{status: sprucehill.Reset}
+	case !whole && r.status == sprucehill.OK:
 		r.more = &stream{resp: resp, conn: c}
 	case !whole || resp.Close: // nobody wants the body of an error
 		c.Close()
@@ -302,8 +302,8 @@
 const passOn = 200 * time.Millisecond
 
 // loadOf reads a load report: name=value pairs. What can't be read is passed over.
-func loadOf(text string) clayladder.Load {
-	var l clayladder.Load
+func loadOf(text string) sprucehill.Load {
+	var l sprucehill.Load
 	for part := range strings.SplitSeq(text, ",") {
 		name, v, _ := strings.Cut(part, "=")
 		if x, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil {
@@ -317,7 +317,7 @@
 func (d dialer) probe(p *probe) (r result) {
 	c, err := d.connect(p.conn, p.address)
 	if err != nil {
-		return result{status: clayladder.ConnectFailed}
+		return result{status: sprucehill.ConnectFailed}
 	}
 	path := "/healthz"
 	if p.load {
@@ -326,15 +326,15 @@
 	c.SetReadDeadline(time.Now().Add(d.timeout))
 	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: "+p.address+"\r\n\r\n"); err != nil {
 		c.Close()
-		return result{status: clayladder.ConnectFailed}
+		return result{status: sprucehill.ConnectFailed}
 	}
 	r = d.answer(c)
 	d.held.give(cap(r.body))
 	if r.more != nil { // no report is as long
 		c.Close()
-		return result{status: clayladder.Error}
+		return result{status: sprucehill.Error}
 	}
-	if p.load && r.status == clayladder.OK {
+	if p.load && r.status == sprucehill.OK {
 		if l := loadOf(string(r.body)); l.Fields != 0 {
 			r.load = l
 		}
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"clayladder"
+	"sprucehill"
 )
 
 // Kind is the kind of an event.
@@ -37,12 +37,12 @@
 	Kind     Kind
 	Instance int
 	Seed     uint64
-	Settings clayladder.Settings
-	Mode     clayladder.ListMode
-	List     []clayladder.Upstream
-	Request  clayladder.Request
-	Outcome  clayladder.Outcome // also Established: ID, Upstream, Attempt, Latency
-	Probe    clayladder.ProbeResult
+	Settings sprucehill.Settings
+	Mode     sprucehill.ListMode
+	List     []sprucehill.Upstream
+	Request  sprucehill.Request
+	Outcome  sprucehill.Outcome // also Established: ID, Upstream, Attempt, Latency
+	Probe    sprucehill.ProbeResult
 	Token    uint64
 }
 
@@ -62,7 +62,7 @@
 	line  int
 	long  []byte
 	names map[string]string
-	lists [banks][]clayladder.Upstream
+	lists [banks][]sprucehill.Upstream
 	known [banks]bool
 	parts fields
 }
@@ -156,12 +156,12 @@
 	case "endpoints":
 		e.Kind = Endpoints
 		e.Mode = f.mode("mode")
-		if e.Mode != clayladder.ListFailed {
+		if e.Mode != sprucehill.ListFailed {
 			e.List = r.list()
 		}
 	case "inbound":
 		e.Kind = Inbound
-		e.Request = clayladder.Request{ID: clayladder.RequestID(f.hex("id", true)), Budget: f.span("budget_us", true),
+		e.Request = sprucehill.Request{ID: sprucehill.RequestID(f.hex("id", true)), Budget: f.span("budget_us", true),
 			Class: r.name(f.text("class", true)), Tenant: r.name(f.text("org", false)), Key: f.hex("key", false),
 			HasKey: f.has("key"), Retry: f.flag("retry"), Cost: f.span("cost_guess_us", false)}
 	case "established":
@@ -173,12 +173,12 @@
 		e.Outcome.Status, e.Outcome.Closed, e.Outcome.Load = f.status("disposition"), f.flag("over"), f.load("metrics")
 	case "lapsed":
 		e.Kind = Lapsed
-		e.Request.ID = clayladder.RequestID(f.hex("id", true))
+		e.Request.ID = sprucehill.RequestID(f.hex("id", true))
 	case "elapsed":
 		e.Kind, e.Token = Elapsed, f.uint("ctx", 63, true)
 	case "health":
 		e.Kind = Health
-		e.Probe = clayladder.ProbeResult{Upstream: clayladder.UpstreamID(f.uint("upstream", 32, true)),
+		e.Probe = sprucehill.ProbeResult{Upstream: sprucehill.UpstreamID(f.uint("upstream", 32, true)),
 			Latency: f.span("cost_time_us", true), Status: f.status("disposition"), Load: f.load("metrics")}
 	case "inbox":
 		e.Kind = Inbox
@@ -204,7 +204,7 @@
 	if f.err != nil {
 		return fmt.Errorf("sheet: %w", f.err)
 	}
-	list := make([]clayladder.Upstream, 0, min(n, 1<<12))
+	list := make([]sprucehill.Upstream, 0, min(n, 1<<12))
 	for range n {
 		line, err := r.next()
 		if err != nil {
@@ -217,7 +217,7 @@
 		if string(name) != "m" {
 			return fmt.Errorf("sheet: items=%d, but %d follow", n, len(list))
 		}
-		u := clayladder.Upstream{ID: clayladder.UpstreamID(f.uint("upstream", 32, true)), Cell: int(f.uint("block", 62, false)),
+		u := sprucehill.Upstream{ID: sprucehill.UpstreamID(f.uint("upstream", 32, true)), Cell: int(f.uint("block", 62, false)),
 			Zone: r.name(f.text("region_part", false)), Weight: f.real("nominal", 1),
 			StartedAt: f.span("came_up_us", false), State: f.state("availability")}
 		if f.err != nil {
@@ -229,7 +229,7 @@
 	return nil
 }
 
-func (r *Reader) list() []clayladder.Upstream {
+func (r *Reader) list() []sprucehill.Upstream {
 	bank := r.parts.uint("bank", 31, true)
 	if bank >= banks || !r.known[bank] {
 		r.parts.fail("bank", "no such list")
@@ -400,57 +400,57 @@
 	return x
 }
 
-func (f *fields) outcome() clayladder.Outcome {
-	return clayladder.Outcome{ID: clayladder.RequestID(f.hex("id", true)), Upstream: clayladder.UpstreamID(f.uint("upstream", 32, true)),
+func (f *fields) outcome() sprucehill.Outcome {
+	return sprucehill.Outcome{ID: sprucehill.RequestID(f.hex("id", true)), Upstream: sprucehill.UpstreamID(f.uint("upstream", 32, true)),
 		Attempt: int(f.uint("go", 31, true)), Latency: f.span("cost_time_us", true)}
 }
 
-func (f *fields) mode(name string) clayladder.ListMode {
+func (f *fields) mode(name string) sprucehill.ListMode {
 	switch string(f.text(name, true)) {
 	case "D":
-		return clayladder.ListDelta
+		return sprucehill.ListDelta
 	case "F":
-		return clayladder.ListFull
+		return sprucehill.ListFull
 	case "C":
-		return clayladder.ListCached
+		return sprucehill.ListCached
 	case "X":
-		return clayladder.ListFailed
+		return sprucehill.ListFailed
 	}
 	f.fail(name, "unknown list mode")
 	return 0
 }
 
-func (f *fields) state(name string) clayladder.State {
+func (f *fields) state(name string) sprucehill.State {
 	switch string(f.text(name, true)) {
 	case "active":
-		return clayladder.Active
+		return sprucehill.Active
 	case "leaving":
-		return clayladder.Draining
+		return sprucehill.Draining
 	case "left":
-		return clayladder.Gone
+		return sprucehill.Gone
 	}
 	f.fail(name, "unknown state")
 	return 0
 }
 
-func (f *fields) status(name string) clayladder.Status {
+func (f *fields) status(name string) sprucehill.Status {
 	switch x := f.uint(name, 31, true); x {
 	case 0:
-		return clayladder.OK
+		return sprucehill.OK
 	case 255:
-		return clayladder.Error
+		return sprucehill.Error
 	case 254:
-		return clayladder.Full
+		return sprucehill.Full
 	case 253:
-		return clayladder.Timeout
+		return sprucehill.Timeout
 	case 252:
-		return clayladder.ConnectFailed
+		return sprucehill.ConnectFailed
 	case 251:
-		return clayladder.Reset
+		return sprucehill.Reset
 	case 250:
-		return clayladder.Cancelled
+		return sprucehill.Cancelled
 	case 249:
-		return clayladder.Moot
+		return sprucehill.Moot
 	default:
 		f.fail(name, fmt.Sprintf("unknown status %d", x))
 		return 0
@@ -458,8 +458,8 @@
 }
 
 // load reads a report: name:value pairs. Values of other names are passed over.
-func (f *fields) load(name string) clayladder.Load {
-	var l clayladder.Load
+func (f *fields) load(name string) sprucehill.Load {
+	var l sprucehill.Load
 	rest := f.text(name, false)
 	for len(rest) > 0 {
 		var part []byte
@@ -477,19 +477,19 @@
 
 // SetLoad puts one value of a load report into l, by its name in the settings or the short one that upstreams use.
 // Values of other names are passed over.
-func SetLoad(l *clayladder.Load, name string, x float64) {
+func SetLoad(l *sprucehill.Load, name string, x float64) {
 	switch name {
 	case "load_share", "util":
-		l.Util, l.Fields = x, l.Fields|clayladder.HasUtil
+		l.Util, l.Fields = x, l.Fields|sprucehill.HasUtil
 	case "concurrent", "inflight":
-		l.Inflight, l.Fields = x, l.Fields|clayladder.HasInflight
+		l.Inflight, l.Fields = x, l.Fields|sprucehill.HasInflight
 	case "depth", "queue":
-		l.Queue, l.Fields = x, l.Fields|clayladder.HasQueue
+		l.Queue, l.Fields = x, l.Fields|sprucehill.HasQueue
 	case "mean_ms", "latency_ms":
-		l.Service, l.Fields = x, l.Fields|clayladder.HasService
+		l.Service, l.Fields = x, l.Fields|sprucehill.HasService
 	case "tps", "qps":
-		l.Rate, l.Fields = x, l.Fields|clayladder.HasRate
+		l.Rate, l.Fields = x, l.Fields|sprucehill.HasRate
 	case "err_ps", "eps":
-		l.Errors, l.Fields = x, l.Fields|clayladder.HasErrors
+		l.Errors, l.Fields = x, l.Fields|sprucehill.HasErrors
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"clayladder"
+	"sprucehill"
 )
 
 // params mirrors the settings that the module uses; other keys are ignored.
@@ -61,20 +61,20 @@
 }
 
 var (
-	repeats = map[string]clayladder.Repeat{"read_like": clayladder.Safe, "idempotency_key": clayladder.Keyed,
-		"non_idempotent": clayladder.Unsafe}
-	groups = map[string]clayladder.Group{"all": clayladder.GroupAll, "zone": clayladder.GroupZone, "cell": clayladder.GroupCell}
-	weigh  = map[string]clayladder.WeightKind{"silent": clayladder.WeightNone, "nominal": clayladder.WeightNominal,
-		"rough": clayladder.WeightRough, "live": clayladder.WeightLive}
-	vias = map[string]clayladder.ReportVia{"silent": clayladder.ReportNone, "piggyback": clayladder.ReportAnswers,
-		"pull": clayladder.ReportProbes}
+	repeats = map[string]sprucehill.Repeat{"read_like": sprucehill.Safe, "idempotency_key": sprucehill.Keyed,
+		"non_idempotent": sprucehill.Unsafe}
+	groups = map[string]sprucehill.Group{"all": sprucehill.GroupAll, "zone": sprucehill.GroupZone, "cell": sprucehill.GroupCell}
+	weigh  = map[string]sprucehill.WeightKind{"silent": sprucehill.WeightNone, "nominal": sprucehill.WeightNominal,
+		"rough": sprucehill.WeightRough, "live": sprucehill.WeightLive}
+	vias = map[string]sprucehill.ReportVia{"silent": sprucehill.ReportNone, "piggyback": sprucehill.ReportAnswers,
+		"pull": sprucehill.ReportProbes}
 	asks = map[string]bool{"pushed": false, "on_request": true}
 )
 
 func us(x int64) time.Duration { return time.Duration(x) * time.Microsecond }
 
 // settings reads the JSON of a start message.
-func (f *fields) settings(name string) clayladder.Settings {
+func (f *fields) settings(name string) sprucehill.Settings {
 	s, _, err := DecodeSettings(f.text(name, true))
 	if err != nil {
 		f.fail(name, err.Error())
@@ -90,18 +90,18 @@
 }
 
 // DecodeSettings reads the settings object of a start message or of a real balancer's configuration.
-func DecodeSettings(text []byte) (clayladder.Settings, Links, error) {
+func DecodeSettings(text []byte) (sprucehill.Settings, Links, error) {
 	var p params
-	var s clayladder.Settings
+	var s sprucehill.Settings
 	var links Links
 	if err := json.Unmarshal(text, &p); err != nil {
 		return s, links, fmt.Errorf("settings: %w", err)
 	}
-	s = clayladder.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
+	s = sprucehill.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
 		WorthByWork: p.WorthBy == "work", WarmKeys: p.Family.WarmKeys, Granularity: us(p.Granularity),
-		Limits: clayladder.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
+		Limits: sprucehill.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
 			RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts},
-		Rules: clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
+		Rules: sprucehill.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
 			TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
 			AnswerWithin: us(p.Rules.Slack)}}
 	links = Links{KeepAlive: us(p.Limits.KeepAlive), ConnectTimeout: us(p.Limits.ConnectTimeout)}
@@ -116,18 +116,18 @@
 		return s, links, fmt.Errorf("settings: reporting.via %q is unknown", p.Reporting.Via)
 	}
 	for _, c := range p.Classes {
-		class := clayladder.Class{Name: c.Name, Aim: us(c.Target), Deadline: us(c.GiveUp), Memory: us(c.Memory),
+		class := sprucehill.Class{Name: c.Name, Aim: us(c.Target), Deadline: us(c.GiveUp), Memory: us(c.Memory),
 			Stream: c.Stream, Worth: c.Worth, LateWorth: c.LateWorth}
 		if class.Repeat, ok = repeats[c.Repeat]; !ok {
 			return s, links, fmt.Errorf("settings: profiles: repeat %q is unknown", c.Repeat)
 		}
-		if class.Group, ok = groups[c.Group]; !ok && class.Repeat == clayladder.Keyed {
+		if class.Group, ok = groups[c.Group]; !ok && class.Repeat == sprucehill.Keyed {
 			return s, links, fmt.Errorf("settings: profiles: group %q is unknown", c.Group)
 		}
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
+		s.Tenants = append(s.Tenants, sprucehill.Tenant{Name: t.Name, Quota: t.Quota})
 	}
 	return s, links, nil
 }
--- a/settings.go
+++ b/settings.go
@@ -1,4 +1,4 @@
-package clayladder
+package sprucehill
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 
 // bad reports a setting that is missing or out of range.
 func bad(format string, args ...any) error {
-	return fmt.Errorf("clayladder: %w: %s", ErrSettings, fmt.Sprintf(format, args...))
+	return fmt.Errorf("sprucehill: %w: %s", ErrSettings, fmt.Sprintf(format, args...))
 }
 
 // amount tells whether x is a finite figure that is not negative.
