--- /dev/null
+++ b/internal/lab/day/day.go
@@ -0,0 +1,333 @@
+// Package day reads a day file: a fleet in regions and zones, its clients, and a timetable of faults. It draws from
+// one seed all that chance decides before a day begins, so that the same file and seed give the same arrivals, the
+// same choices of who is hit, and the same timetable in both engines. It is pure: no clock, no sockets.
+package day
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// ErrInput is wrapped by every error that a day file can cause.
+var ErrInput = errors.New("unusable day")
+
+// Duration is a time in a day file, written as Go writes it: "250ms", "1.5s".
+type Duration time.Duration
+
+// UnmarshalText reads "1.5s".
+func (d *Duration) UnmarshalText(text []byte) error {
+	x, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no duration such as \"1.5s\"", text)
+	}
+	*d = Duration(x)
+	return nil
+}
+
+// MarshalText writes "1.5s".
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// D is the time as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Range is the least and the most of what is drawn evenly between them.
+type Range [2]Duration
+
+// Day is a day file.
+type Day struct {
+	Name   string   `toml:"name"`
+	About  string   `toml:"about"`  // one sentence: what the day shows
+	Seed   uint64   `toml:"seed"`   // draws everything that chance decides
+	Length Duration `toml:"length"` // of the arrivals; the day goes on until all is answered
+	Settle Duration `toml:"settle"` // the first stretch, reported apart: histograms and shares begin empty
+	Window Duration `toml:"window"` // of the time series
+
+	Regions   []Region         `toml:"region"`
+	Models    map[string]Model `toml:"model"` // of upstreams, by name
+	Network   Network          `toml:"network"`
+	Discovery Discovery        `toml:"discovery"`
+	Balancer  Balancers        `toml:"balancer"`
+	Classes   []Class          `toml:"class"`
+	Tenants   []Tenant         `toml:"tenant"`
+	Clients   Clients          `toml:"clients"`
+	Load      Load             `toml:"load"`
+	Faults    []Fault          `toml:"fault"`
+
+	Path string `toml:"-"` // of the file, for messages
+}
+
+// Region is a group of zones that lie close together.
+type Region struct {
+	Name  string `toml:"name"`
+	Zones []Zone `toml:"zone"`
+}
+
+// Zone is a data centre: its clients reach its own balancers through a front.
+type Zone struct {
+	Name      string  `toml:"name"`
+	Balancers int     `toml:"balancers"`
+	Share     float64 `toml:"share"` // of the load, against the other zones'; absent: by its balancers
+	Groups    []Group `toml:"upstreams"`
+}
+
+// Group is a number of like upstreams.
+type Group struct {
+	Model string `toml:"model"`
+	Count int    `toml:"count"`
+}
+
+// Model is a kind of upstream.
+type Model struct {
+	Cores       int      `toml:"cores"`
+	Speed       float64  `toml:"speed"`        // of a core; work is stated for a speed of 1
+	Slots       int      `toml:"slots"`        // requests in work at once
+	Queue       int      `toml:"queue"`        // and waiting behind them; more are turned away unseen
+	ColdFrom    float64  `toml:"cold_from"`    // share of its capacity at its start
+	Warm        Duration `toml:"warm"`         // rising evenly to the whole by then
+	PauseEvery  Duration `toml:"pause_every"`  // mean time between pauses; 0: none
+	Pause       Duration `toml:"pause"`        // all work stands still so long
+	ErrorRate   float64  `toml:"error_rate"`   // part of requests that fail at their end
+	Connections int      `toml:"connections"`  // held at once; 0: no cap
+	ReportEvery Duration `toml:"report_every"` // how often its load report is renewed
+	ReportDelay Duration `toml:"report_delay"` // and how old it is by then
+}
+
+// Network is what lies between two parties, one way.
+type Network struct {
+	SameZone    Duration `toml:"same_zone"`
+	CrossZone   Duration `toml:"cross_zone"`
+	CrossRegion Duration `toml:"cross_region"`
+	Loss        float64  `toml:"loss"` // part of messages lost; each loss costs a retransmission
+	Links       []Link   `toml:"link"` // pairs that differ
+}
+
+// Link is the way from one region or zone to another.
+type Link struct {
+	From  string   `toml:"from"` // zone:NAME or region:NAME
+	To    string   `toml:"to"`
+	Delay Duration `toml:"delay"`
+	Loss  float64  `toml:"loss"`
+}
+
+// Discovery is the service that tells balancers of upstreams.
+type Discovery struct {
+	Delay Duration `toml:"delay"` // from a change to the agents
+}
+
+// Balancers is what all balancers are given.
+type Balancers struct {
+	MemoryMB       int      `toml:"memory_mb"`
+	Sockets        int      `toml:"sockets"`
+	MaxAttempts    int      `toml:"max_attempts"`
+	SecondCopies   bool     `toml:"second_copies"`
+	Probes         bool     `toml:"probes"`
+	RetryAfter     Duration `toml:"max_retry_after"` // 0: refusals advise nothing
+	ConnectTimeout Duration `toml:"connect_timeout"`
+	KeepAlive      Duration `toml:"keepalive"` // an upstream closes what has idled so long
+	DrainGrace     Duration `toml:"drain_grace"`
+	TipMultiple    float64  `toml:"tip_multiple"`
+	TipAfter       Duration `toml:"tip_after"`
+	Notice         Duration `toml:"front_notice"` // after it a front learns that a balancer has died
+}
+
+// Class is one kind of request.
+type Class struct {
+	Name     string   `toml:"name"`
+	Share    float64  `toml:"share"`
+	Repeat   string   `toml:"repeat"` // safe, keyed or unsafe
+	Group    string   `toml:"group"`  // for keyed: all, zone or cell
+	Memory   Duration `toml:"memory"` // for keyed: how long a repeat is dropped
+	Aim      Duration `toml:"aim"`
+	Deadline Duration `toml:"deadline"`
+	Worth    float64  `toml:"worth"`
+	Work     Range    `toml:"work"` // of a core of speed 1
+	Wait     Range    `toml:"wait"` // on others, beside the cores
+}
+
+// Tenant is a customer.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Quota float64 `toml:"quota"` // requests a second inside its share, over all balancers
+}
+
+// Clients is how clients behave.
+type Clients struct {
+	Retries    int      `toml:"retries"`    // tries after the first, at most
+	Wait       Duration `toml:"wait"`       // before another try
+	Budget     float64  `toml:"budget"`     // other tries as a part of first ones; 0: no budget
+	Impatience float64  `toml:"impatience"` // part that leave before their deadline
+	Honour     float64  `toml:"honour"`     // part that follow Retry-After
+	Keys       int      `toml:"keys"`       // distinct subjects of keyed requests
+}
+
+// Load is how many requests come, over all zones.
+type Load struct {
+	Rate   float64  `toml:"rate"`   // first tries a second
+	Shape  string   `toml:"shape"`  // flat or wave
+	Swing  float64  `toml:"swing"`  // of a wave, as a part of the rate
+	Period Duration `toml:"period"` // of a wave
+}
+
+// Fault is one row of the timetable.
+type Fault struct {
+	At     Duration `toml:"at"`
+	For    Duration `toml:"for"` // 0: to the end of the day
+	Kind   string   `toml:"kind"`
+	Target []string `toml:"target"` // whom it hits: zone:, region:, balancer: or upstream: and a name or pattern
+	Part   float64  `toml:"part"`   // of those, drawn by the seed; absent: all
+	From   []string `toml:"from"`   // of a fault on links
+	To     []string `toml:"to"`
+	OneWay bool     `toml:"one_way"`
+	Size   float64  `toml:"size"`  // share that fails, share taken, loss, or factor, by kind
+	Delay  Duration `toml:"delay"` // added, or a clock's offset
+	Rate   float64  `toml:"rate"`  // bytes a second of a slow link
+	State  string   `toml:"state"` // of a restart: keep or lose the state folder
+}
+
+// LoadFile reads a day file, fills in what it leaves out and checks it whole.
+func LoadFile(path string) (*Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInput, err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads the text of a day file; path is for messages.
+func Parse(path string, text []byte) (*Day, error) {
+	d := &Day{Path: path}
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(d); err != nil {
+		return nil, fmt.Errorf("%w: %s", ErrInput, decodeMessage(path, err))
+	}
+	d.fill()
+	if err := d.check(); err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrInput, path, err)
+	}
+	return d, nil
+}
+
+// decodeMessage says in a line where a file can't be read, and of an unknown key which known one is nearest.
+func decodeMessage(path string, err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		row, _ := first.Position()
+		key := first.Key()
+		return fmt.Sprintf("%s:%d: unknown key %q; did you mean %q?", path, row, strings.Join(key, "."), nearest(key))
+	}
+	var one *toml.DecodeError
+	if errors.As(err, &one) {
+		row, _ := one.Position()
+		return fmt.Sprintf("%s:%d: %s: %s", path, row, strings.Join(one.Key(), "."), one.Error())
+	}
+	return fmt.Sprintf("%s: %v", path, err)
+}
+
+// nearest is the known key of the same table with the fewest edits from an unknown one; of several the first that the
+// table has.
+func nearest(key []string) string {
+	table := reflect.TypeFor[Day]()
+	for _, name := range key[:len(key)-1] {
+		for _, field := range reflect.VisibleFields(table) {
+			if field.Tag.Get("toml") == name {
+				table = field.Type
+			}
+		}
+		for table.Kind() == reflect.Slice {
+			table = table.Elem()
+		}
+		if table.Kind() == reflect.Map { // the next part is a name of the file's own
+			table = table.Elem()
+		}
+		if table.Kind() != reflect.Struct {
+			table = reflect.TypeFor[Day]()
+		}
+	}
+	word, best, least := key[len(key)-1], "", 0
+	for _, field := range reflect.VisibleFields(table) {
+		known := field.Tag.Get("toml")
+		if edits := levenshtein.ComputeDistance(word, known); known != "-" && (best == "" || edits < least) {
+			best, least = known, edits
+		}
+	}
+	return best
+}
+
+// orElse fills in a value that a file has left out.
+func orElse[T comparable](to *T, value T) {
+	var zero T
+	if *to == zero {
+		*to = value
+	}
+}
+
+const ms = Duration(time.Millisecond)
+
+// fill sets what the file leaves out: the figures of a small site with usual rules.
+func (d *Day) fill() {
+	orElse(&d.Name, strings.TrimSuffix(lastPart(d.Path), ".toml"))
+	orElse(&d.Seed, 1)
+	orElse(&d.Settle, min(5000*ms, d.Length/4))
+	orElse(&d.Window, 1000*ms)
+	orElse(&d.Network.SameZone, ms/4)
+	orElse(&d.Network.CrossZone, 4*d.Network.SameZone)
+	orElse(&d.Network.CrossRegion, 10*d.Network.CrossZone)
+	orElse(&d.Discovery.Delay, 500*ms)
+	b := &d.Balancer
+	orElse(&b.MemoryMB, 128)
+	orElse(&b.Sockets, 512)
+	orElse(&b.MaxAttempts, 5)
+	orElse(&b.ConnectTimeout, 250*ms)
+	orElse(&b.KeepAlive, 15000*ms)
+	orElse(&b.DrainGrace, 500*ms)
+	orElse(&b.TipMultiple, 2.5)
+	orElse(&b.TipAfter, 2000*ms)
+	orElse(&b.Notice, 2000*ms)
+	orElse(&d.Clients.Keys, 1000)
+	orElse(&d.Load.Shape, "flat")
+	orElse(&d.Load.Period, max(d.Length/2, ms))
+	for name, m := range d.Models {
+		orElse(&m.Cores, 2)
+		orElse(&m.Speed, 1)
+		orElse(&m.Slots, 16*m.Cores)
+		orElse(&m.Queue, 16*m.Cores)
+		orElse(&m.ColdFrom, 0.2)
+		orElse(&m.Warm, 10000*ms)
+		orElse(&m.ReportEvery, 500*ms)
+		orElse(&m.ReportDelay, 200*ms)
+		d.Models[name] = m
+	}
+	for r := range d.Regions {
+		for z := range d.Regions[r].Zones {
+			zone := &d.Regions[r].Zones[z]
+			orElse(&zone.Share, float64(zone.Balancers))
+			for g := range zone.Groups {
+				orElse(&zone.Groups[g].Count, 1)
+			}
+		}
+	}
+	for i := range d.Classes {
+		c := &d.Classes[i]
+		orElse(&c.Share, 1)
+		orElse(&c.Repeat, "safe")
+		orElse(&c.Group, "all")
+		orElse(&c.Memory, 7500*ms)
+		orElse(&c.Worth, 1)
+	}
+	for i := range d.Faults {
+		orElse(&d.Faults[i].Part, 1)
+		orElse(&d.Faults[i].State, "keep")
+	}
+}
+
+func lastPart(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
--- /dev/null
+++ b/internal/lab/day/day_test.go
@@ -0,0 +1,146 @@
+package day
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const small = `
+length = "10s"
+[[region]]
+name = "west"
+[[region.zone]]
+name = "a"
+balancers = 2
+upstreams = [{model = "m", count = 3}]
+[[region]]
+name = "east"
+[[region.zone]]
+name = "b"
+balancers = 1
+upstreams = [{model = "m", count = 2}]
+[model.m]
+[[class]]
+name = "c"
+aim = "1s"
+deadline = "2s"
+work = ["1ms", "9ms"]
+[load]
+rate = 50
+`
+
+func parse(t *testing.T, text string) *Day {
+	t.Helper()
+	d, err := Parse("d.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// What is wrong with a file is said in a line that names file and key, and of an unknown key the nearest known one.
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ add, want string }{
+		{"[clients]\nretry = 3\n", `d.toml:24: unknown key "clients.retry"; did you mean "retries"?`},
+		{"[model.n]\ncors = 3\n", `unknown key "model.n.cors"; did you mean "cores"?`},
+		{"[clients]\nwait = \"soon\"\n", `d.toml:24:`},
+		{"[[fault]]\nat=\"1s\"\nkind=\"fire\"\n", `fault[1].kind: "fire" is unknown`},
+		{"[[fault]]\nat=\"1s\"\nkind=\"kill\"\ntarget=[\"balancer:x\"]\n", `names nobody`},
+		{"[[fault]]\nat=\"1s\"\nkind=\"kill\"\ntarget=[\"upstream:*\"]\n", `names nobody that kill could hit`},
+		{"[[fault]]\nat=\"11s\"\nkind=\"kill\"\ntarget=[\"all\"]\n", `fault[1].at`},
+		{"[[fault]]\nat=\"1s\"\nkind=\"cut\"\nfrom=[\"all\"]\n", `to: is missing`},
+		{"[[fault]]\nat=\"1s\"\nkind=\"errors\"\nsize=2\ntarget=[\"all\"]\n", `fault[1].size`},
+		{"[network]\nsame_zone=\"-1s\"\n", `network`},
+		{"[[class]]\nname=\"c\"\naim=\"1s\"\ndeadline=\"1s\"\nwork=[\"1ms\",\"1ms\"]\n", `class[2].name`},
+	} {
+		_, err := Parse("d.toml", []byte(small+c.add))
+		if !errors.Is(err, ErrInput) || !strings.Contains(fmt.Sprint(err), c.want) || strings.Contains(fmt.Sprint(err), "\n") {
+			t.Errorf("%q: got %v, want it to say %q in one line", c.add, err, c.want)
+		}
+	}
+}
+
+// The same file and seed give the same arrivals and the same choice of whom a fault hits; another seed others.
+func TestSeeded(t *testing.T) {
+	text := small + "[[fault]]\nat=\"1s\"\nkind=\"errors\"\nsize=0.5\npart=0.4\ntarget=[\"upstream:*\"]\n"
+	a, b, c := parse(t, text), parse(t, text), parse(t, "seed = 2\n"+text)
+	_, ha := a.Timetable()
+	_, hb := b.Timetable()
+	if !reflect.DeepEqual(a.Arrivals(), b.Arrivals()) || !reflect.DeepEqual(ha, hb) {
+		t.Error("one seed gave two days")
+	}
+	if len(ha[0].Targets) != 2 {
+		t.Errorf("0.4 of 5 upstreams are %v", ha[0].Targets)
+	}
+	if reflect.DeepEqual(a.Arrivals(), c.Arrivals()) {
+		t.Error("two seeds gave the same arrivals")
+	}
+	n := float64(len(a.Arrivals()))
+	if n < 400 || n > 600 {
+		t.Errorf("%v arrivals in 10 s at 50 a second", n)
+	}
+}
+
+// Ids of tries never meet.
+func TestTryIDs(t *testing.T) {
+	d := parse(t, small)
+	rapid.Check(t, func(t *rapid.T) {
+		d.Seed = rapid.Uint64().Draw(t, "seed")
+		a, b := rapid.IntRange(0, 1<<30).Draw(t, "a"), rapid.IntRange(0, 1<<30).Draw(t, "b")
+		x, y := rapid.IntRange(0, MaxTries-1).Draw(t, "x"), rapid.IntRange(0, MaxTries-1).Draw(t, "y")
+		if (a != b || x != y) == (d.TryID(a, x) == d.TryID(b, y)) {
+			t.Fatalf("try %d of %d and try %d of %d", x, a, y, b)
+		}
+	})
+}
+
+// Faults on one way add up, and end one by one.
+func TestPathsOverlap(t *testing.T) {
+	d := parse(t, small+`
+[[fault]]
+at = "1s"
+kind = "delay"
+delay = "5ms"
+from = ["zone:a"]
+to = ["zone:b"]
+[[fault]]
+at = "1s"
+kind = "delay"
+delay = "7ms"
+from = ["region:west"]
+to = ["region:east"]
+one_way = true
+[[fault]]
+at = "1s"
+kind = "cut"
+from = ["balancer:a-b1"]
+to = ["upstream:b-*"]
+`)
+	f := d.Fleet()
+	p := d.NewPaths(f)
+	there, back := Party{BalancerParty, 0}, Party{UpstreamParty, 3}
+	base := p.Now(there, back).Delay
+	for i := range 3 {
+		p.Set(i, true)
+	}
+	if c := p.Now(there, back); c.Delay != base+12*time.Millisecond || !c.Cut {
+		t.Errorf("there: %+v", c)
+	}
+	if c := p.Now(back, there); c.Delay != base+5*time.Millisecond || !c.Cut {
+		t.Errorf("back: %+v", c)
+	}
+	if c := p.Now(Party{BalancerParty, 1}, back); c.Cut {
+		t.Error("the cut hits a balancer that it does not name")
+	}
+	p.Set(2, false)
+	p.Set(0, false)
+	if c := p.Now(there, back); c.Delay != base+7*time.Millisecond || c.Cut {
+		t.Errorf("after two ends: %+v", c)
+	}
+}
--- /dev/null
+++ b/internal/lab/day/fault.go
@@ -0,0 +1,171 @@
+package day
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Scope is what a fault acts on.
+type Scope uint8
+
+// The scopes.
+const (
+	OnLinks Scope = iota
+	OnUpstreams
+	OnBalancers
+	OnDiscovery
+	OnLoad
+)
+
+// kind is what a kind of fault acts on and the figures that it wants.
+type kind struct {
+	scope       Scope
+	least, most float64 // of size; most 0: size is not used
+	delay, rate bool    // wanted
+	about       string
+}
+
+// kinds has every kind of fault. What each does is told once, here; the engines carry it out.
+var kinds = map[string]kind{
+	"cut":   {scope: OnLinks, about: "nothing passes: open connections fall silent, new ones do not come up"},
+	"delay": {scope: OnLinks, delay: true, about: "messages take longer by delay"},
+	"slow":  {scope: OnLinks, rate: true, about: "bytes pass at rate"},
+	"lossy": {scope: OnLinks, least: 0.0001, most: 0.5, about: "a share of messages, size, is lost and sent again"},
+	"reset": {scope: OnLinks, about: "open connections are reset at that moment, also under a request"},
+
+	"down":      {scope: OnUpstreams, about: "the process dies: connections are reset; it returns cold"},
+	"vanish":    {scope: OnUpstreams, about: "the machine falls silent; it returns cold"},
+	"drain":     {scope: OnUpstreams, about: "discovery lists it as draining; at the end it is up again"},
+	"errors":    {scope: OnUpstreams, least: 0.0001, most: 1, about: "a share, size, fails at once"},
+	"neighbour": {scope: OnUpstreams, least: 0.0001, most: 0.99, about: "another program takes a share, size, of the machine"},
+	"late":      {scope: OnUpstreams, delay: true, about: "load reports are older by delay"},
+
+	"kill":    {scope: OnBalancers, about: "SIGKILL; started again at the end"},
+	"term":    {scope: OnBalancers, about: "SIGTERM, SIGKILL if it has not ended in time; started again at the end"},
+	"freeze":  {scope: OnBalancers, about: "SIGSTOP, and SIGCONT at the end"},
+	"restart": {scope: OnBalancers, about: "SIGTERM, and started again as soon as it has ended"},
+	"clock":   {scope: OnBalancers, delay: true, about: "its clock is off by delay against what discovery dates"},
+
+	"discovery-silent": {scope: OnDiscovery, about: "agents answer nothing"},
+	"burst":            {scope: OnLoad, least: 0.01, most: 100, about: "arrivals times size"},
+}
+
+func kindNames() string { return strings.Join(slices.Sorted(maps.Keys(kinds)), ", ") }
+
+// Hit is whom a fault acts on.
+type Hit struct {
+	Scope    Scope
+	From, To map[Party]bool // links
+	Targets  []int          // upstreams, balancers, or zones of clients, in order
+}
+
+// resolve draws whom fault i hits.
+func (d *Day) resolve(f *Fleet, i int) (Hit, error) {
+	fault := d.Faults[i]
+	h := Hit{Scope: kinds[fault.Kind].scope}
+	if h.Scope == OnLinks {
+		return f.links(h, fault)
+	}
+	if len(fault.From)+len(fault.To) > 0 {
+		return h, fmt.Errorf("from and to are for links; %s has a target", fault.Kind)
+	}
+	if h.Scope == OnDiscovery && len(fault.Target) == 0 {
+		fault.Target = []string{"all"}
+	}
+	if h.Scope == OnLoad && len(fault.Target) == 0 {
+		fault.Target = []string{"all"}
+	}
+	parties, err := f.parties(fault.Target)
+	if err != nil {
+		return h, fmt.Errorf("target: %w", err)
+	}
+	wanted := map[Scope]PartyKind{OnUpstreams: UpstreamParty, OnBalancers: BalancerParty, OnDiscovery: BalancerParty,
+		OnLoad: ClientsParty}[h.Scope]
+	for _, p := range parties {
+		if p.Kind == wanted {
+			h.Targets = append(h.Targets, p.Index)
+		}
+	}
+	if len(h.Targets) == 0 {
+		return h, fmt.Errorf("target: %v names nobody that %s could hit", fault.Target, fault.Kind)
+	}
+	rng := rand.New(rand.NewPCG(d.Seed, stream("fault", i)))
+	rng.Shuffle(len(h.Targets), func(a, b int) { h.Targets[a], h.Targets[b] = h.Targets[b], h.Targets[a] })
+	h.Targets = h.Targets[:int(math.Ceil(fault.Part*float64(len(h.Targets))))]
+	slices.Sort(h.Targets)
+	return h, nil
+}
+
+// links resolves the two sides of a fault on links.
+func (f *Fleet) links(h Hit, fault Fault) (Hit, error) {
+	if len(fault.Target) > 0 {
+		return h, errors.New("target: a fault on links has from and to")
+	}
+	for _, side := range []struct {
+		key string
+		of  []string
+		to  *map[Party]bool
+	}{{"from", fault.From, &h.From}, {"to", fault.To, &h.To}} {
+		if len(side.of) == 0 {
+			return h, fmt.Errorf("%s: is missing", side.key)
+		}
+		parties, err := f.parties(side.of)
+		if err != nil {
+			return h, fmt.Errorf("%s: %w", side.key, err)
+		}
+		*side.to = map[Party]bool{}
+		for _, p := range parties {
+			(*side.to)[p] = true
+		}
+	}
+	return h, nil
+}
+
+// Change is the begin or the end of a fault.
+type Change struct {
+	At    time.Duration
+	Fault int // index into Day.Faults
+	On    bool
+}
+
+// Timetable is every begin and end of a fault, in order; of several at one moment ends come first, then by their order
+// in the file. Hits is by the index of the fault.
+func (d *Day) Timetable() (changes []Change, hits []Hit) {
+	f := d.Fleet()
+	for i, fault := range d.Faults {
+		hit, err := d.resolve(f, i)
+		if err != nil {
+			panic(err) // a Day is checked before anyone has it
+		}
+		hits = append(hits, hit)
+		changes = append(changes, Change{fault.At.D(), i, true})
+		if end := fault.At + fault.For; fault.For > 0 && fault.Kind != "reset" {
+			changes = append(changes, Change{end.D(), i, false})
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), compareBool(a.On, b.On), cmp.Compare(a.Fault, b.Fault))
+	})
+	return changes, hits
+}
+
+// compareBool has false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// About tells what kind of fault does.
+func About(kind string) string { return kinds[kind].about }
