--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,151 @@
+package link
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"sprucehill/internal/lab/day"
+)
+
+const cutDay = `
+length = "10s"
+[[region]]
+name = "r"
+[[region.zone]]
+name = "a"
+balancers = 1
+upstreams = [{model = "m", count = 1}]
+[model.m]
+[[class]]
+name = "c"
+aim = "1s"
+deadline = "2s"
+work = ["1ms", "1ms"]
+[load]
+rate = 1
+[[fault]]
+at = "1s"
+kind = "cut"
+from = ["balancer:*"]
+to = ["upstream:*"]
+[[fault]]
+at = "1s"
+kind = "cut"
+from = ["upstream:*"]
+to = ["balancer:*"]
+one_way = true
+`
+
+var b, u = day.Party{Kind: day.BalancerParty}, day.Party{Kind: day.UpstreamParty}
+
+// pair returns a network and the two ends of a connection over it: the balancer's own, and the upstream's.
+func pair(t *testing.T) (*Net, *Listener, net.Conn, *Conn) {
+	t.Helper()
+	d, err := day.Parse("cut.toml", []byte(cutDay))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(d.NewPaths(d.Fleet()), 1)
+	l, err := n.Listen(u, b, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	far, err := net.Dial("tcp", l.tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close() })
+	return n, l, far, near
+}
+
+// passes tells whether a byte from one end has come to the other within a time.
+func passes(t *testing.T, from io.Writer, to net.Conn, within time.Duration) bool {
+	t.Helper()
+	go from.Write([]byte("x"))
+	got := make(chan error, 1)
+	go func() {
+		_, err := io.ReadFull(to, make([]byte, 1))
+		got <- err
+	}()
+	select {
+	case err := <-got:
+		if err != nil {
+			t.Fatal(err)
+		}
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// A cut way keeps its connections, silent; what was sent comes when it is whole again.
+func TestCutIsSilent(t *testing.T) {
+	n, _, far, near := pair(t)
+	if !passes(t, far, near, 10*time.Second) {
+		t.Fatal("nothing passes on a whole way")
+	}
+	n.Set(0, true, false)
+	got := make(chan error, 1)
+	far.Write([]byte("x"))
+	go func() {
+		_, err := io.ReadFull(near, make([]byte, 1))
+		got <- err
+	}()
+	select {
+	case err := <-got:
+		t.Fatalf("a cut way passed a byte or an error on: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	n.Set(0, false, false)
+	if err := <-got; err != nil {
+		t.Fatalf("after the cut: %v", err)
+	}
+}
+
+// A way that is cut one way passes the other on.
+func TestOneWay(t *testing.T) {
+	n, _, far, near := pair(t)
+	n.Set(1, true, false)
+	if !passes(t, far, near, 10*time.Second) {
+		t.Error("balancer to upstream is not cut, but nothing passes")
+	}
+	if passes(t, near, far, 300*time.Millisecond) {
+		t.Error("upstream to balancer is cut, but a byte passes")
+	}
+}
+
+// New connections do not come up over a cut, are neither refused nor reset, and come up when it ends. Cuts overlap.
+func TestCutTakesNoConnections(t *testing.T) {
+	n, l, _, _ := pair(t)
+	address := l.tcp.Addr().String()
+	n.Set(0, true, false)
+	n.Set(1, true, false)
+	n.Set(0, false, false)
+	_, err := net.DialTimeout("tcp", address, 300*time.Millisecond)
+	if timeout := net.Error(nil); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("over a cut: %v", err)
+	}
+	n.Set(1, false, false)
+	c, err := net.DialTimeout("tcp", address, 10*time.Second)
+	if err != nil {
+		t.Fatalf("after the cut: %v", err)
+	}
+	defer c.Close()
+	taken, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if taken.RemoteAddr().String() != c.LocalAddr().String() {
+		t.Errorf("took %v, not the connection that was opened", taken.RemoteAddr())
+	}
+}
