--- /dev/null
+++ b/cmd/sprucehill/lab.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/term"
+
+	"sprucehill/internal/lab"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/live"
+	"sprucehill/internal/lab/program"
+)
+
+// checkCmd is lab check.
+type checkCmd struct {
+	File string `arg:"" help:"Day file." type:"existingfile" predictor:"file"`
+}
+
+// Run carries it out.
+func (c *checkCmd) Run() error {
+	d, err := day.LoadFile(c.File)
+	if err != nil {
+		return err
+	}
+	f := d.Fleet()
+	fmt.Printf("%s: good: %d balancers, %d upstreams, %d zones, about %.0f requests in %v, %d faults\n", c.File,
+		len(f.Balancers), len(f.Upstreams), len(f.Zones), d.Load.Rate*d.Length.D().Seconds(), d.Length.D(), len(d.Faults))
+	return nil
+}
+
+// showCmd is lab show.
+type showCmd struct {
+	File string `arg:"" help:"Day file." type:"existingfile" predictor:"file"`
+	JSON bool   `name:"json" help:"Write the day as JSON, with what the file leaves out."`
+}
+
+// Run carries it out.
+func (c *showCmd) Run() error {
+	d, err := day.LoadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return writeJSON(d)
+	}
+	showDay(os.Stdout, d)
+	return nil
+}
+
+// runCmd is lab run.
+type runCmd struct {
+	File    string `arg:"" help:"Day file." type:"existingfile" predictor:"file"`
+	Engine  string `help:"live: real processes of the balancer on loopback. model: its decisions in virtual time." enum:"live,model" default:"live"`
+	Seed    uint64 `help:"Draw the day by this seed instead of the file's."`
+	Out     string `help:"Folder for the report, and for logs of processes." default:"found/lab" type:"path"`
+	Program string `help:"Work tree of the balancer, built by its deploy/balancer.toml." default:"." type:"existingdir"`
+	NoBuild bool   `help:"Take the program as it was built last."`
+	JSON    bool   `name:"json" help:"Write the summary as JSON."`
+	History bool   `help:"Keep every event in history.txt in the folder."`
+}
+
+// Run carries it out.
+func (c *runCmd) Run(ctx context.Context) error {
+	d, err := day.LoadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		d.Seed = c.Seed
+	}
+	out := filepath.Join(c.Out, fmt.Sprintf("%s-%s-%d", d.Name, c.Engine, d.Seed))
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return err
+	}
+	p := newProgress(d)
+	r, err := c.play(ctx, d, out, p)
+	p.end()
+	if err != nil {
+		return err
+	}
+	if c.History {
+		if err := writeHistory(filepath.Join(out, "history.txt"), r); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		if err := writeJSON(r.Summary); err != nil {
+			return err
+		}
+	} else {
+		showSummary(os.Stdout, r)
+	}
+	switch {
+	case r.Summary.Lab != nil && r.Summary.Lab.Void != "":
+		return fmt.Errorf("the run is void: %s", r.Summary.Lab.Void)
+	case len(r.Violations) > 0:
+		return fmt.Errorf("%w: %d violations", errClaim, len(r.Violations))
+	}
+	return nil
+}
+
+func (c *runCmd) play(ctx context.Context, d *day.Day, out string, p *progress) (*lab.Result, error) {
+	balancer, err := program.Find(c.Program)
+	if err != nil {
+		return nil, err
+	}
+	if !c.NoBuild {
+		p.say("building " + balancer.Root)
+		if err := balancer.Build(ctx); err != nil {
+			return nil, err
+		}
+	}
+	p.say("starting")
+	return lab.Live(ctx, d, live.Options{Command: balancer.Command(), Dir: balancer.Root, Work: out, Progress: p.at})
+}
+
+func writeJSON(x any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(x)
+}
+
+// writeHistory writes every event as a line.
+func writeHistory(path string, r *lab.Result) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for _, e := range r.Events {
+		if _, err := fmt.Fprintln(f, e.Describe(r.Day, r.Fleet)); err != nil {
+			return err
+		}
+	}
+	return f.Close()
+}
+
+// progress tells how far a run is, on a terminal.
+type progress struct {
+	length time.Duration
+	on     bool
+}
+
+func newProgress(d *day.Day) *progress {
+	return &progress{length: d.Length.D(), on: term.IsTerminal(int(os.Stderr.Fd()))}
+}
+
+func (p *progress) say(what string) {
+	if p.on {
+		fmt.Fprintf(os.Stderr, "\r\x1b[K%s ...", what)
+	}
+}
+
+func (p *progress) at(t time.Duration) {
+	p.say(fmt.Sprintf("%3.0f%%  %v of %v", 100*t.Seconds()/p.length.Seconds(), t.Round(time.Second), p.length))
+}
+
+func (p *progress) end() {
+	if p.on {
+		fmt.Fprint(os.Stderr, "\r\x1b[K")
+	}
+}
--- /dev/null
+++ b/cmd/sprucehill/main.go
@@ -0,0 +1,77 @@
+// Command sprucehill is for the operators and engineers of the balancer. Its lab plays days of an emulated fleet.
+//
+// It exits with 0 if all is good, 1 if what was claimed did not hold (a rule was broken, a comparison failed), and 2 if
+// the input can't be used or the machine can't carry the run.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/posener/complete"
+	"github.com/willabides/kongplete"
+)
+
+// The exit codes.
+const (
+	exitGood, exitClaim, exitInput = 0, 1, 2
+)
+
+// errClaim says that a run went through and what it was to show did not hold.
+var errClaim = errors.New("the claim failed")
+
+// cli is the command line.
+type cli struct {
+	Lab struct {
+		Run   runCmd   `cmd:"" help:"Play a day and report what came of it."`
+		Check checkCmd `cmd:"" help:"Tell whether a day file can be used."`
+		Show  showCmd  `cmd:"" help:"Show a day's fleet, network, load and timetable as tables."`
+	} `cmd:"" help:"Play days of an emulated fleet: regions, faults, clients, and a checker of the rules."`
+
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Write the completion of this command for your shell, to be put in its start file."`
+}
+
+const about = `The command of the load balancer's operators and engineers.
+
+A day is a TOML file: a fleet in regions and zones, its clients, and a timetable of faults. To begin:
+
+    sprucehill lab show examples/quickstart.toml
+    sprucehill lab run examples/quickstart.toml
+
+It exits with 0 if all is good, 1 if a rule was broken or a claim failed, and 2 if the input can't be used.`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run carries out a command line and returns the exit code.
+func run(args []string) int {
+	var c cli
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser, err := kong.New(&c, kong.Name("sprucehill"), kong.Description(about), kong.UsageOnError(),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sprucehill:", err)
+		return exitInput
+	}
+	kongplete.Complete(parser, kongplete.WithPredictor("file", complete.PredictFiles("*.toml")))
+	call, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "sprucehill: %v\nsprucehill --help tells more\n", err)
+		return exitInput
+	}
+	switch err := call.Run(ctx); {
+	case err == nil:
+		return exitGood
+	case errors.Is(err, errClaim):
+		fmt.Fprintln(os.Stderr, "sprucehill:", err)
+		return exitClaim
+	default:
+		fmt.Fprintln(os.Stderr, "sprucehill:", err)
+		return exitInput
+	}
+}
--- /dev/null
+++ b/cmd/sprucehill/text.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"sprucehill/internal/lab"
+	"sprucehill/internal/lab/check"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/measure"
+)
+
+// traceLines bounds how much of a request's history is printed; the report has all of it.
+const traceLines = 12
+
+// shownViolations bounds how many are printed in full.
+const shownViolations = 5
+
+// table writes rows in columns.
+func table(w io.Writer, rows ...[]any) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		texts := make([]string, len(row))
+		for i, x := range row {
+			texts[i] = fmt.Sprint(x)
+		}
+		fmt.Fprintln(t, strings.Join(texts, "\t"))
+	}
+	t.Flush() // w is a terminal or a buffer
+}
+
+// showDay writes a day as tables.
+func showDay(w io.Writer, d *day.Day) {
+	f := d.Fleet()
+	fmt.Fprintf(w, "%s, seed %d, %v", d.Name, d.Seed, d.Length.D())
+	if d.About != "" {
+		fmt.Fprintf(w, ": %s", d.About)
+	}
+	fmt.Fprint(w, "\n\n")
+	rows := [][]any{{"region", "zone", "balancers", "load", "upstreams"}}
+	for i, z := range f.Zones {
+		models := map[string]int{}
+		for _, u := range f.Upstreams {
+			if u.Zone == i {
+				models[u.Model]++
+			}
+		}
+		var parts []string
+		for _, m := range slices.Sorted(maps.Keys(models)) {
+			parts = append(parts, fmt.Sprintf("%d %s", models[m], m))
+		}
+		rows = append(rows, []any{f.Regions[z.Region], z.Name, len(z.Balancers), fmt.Sprintf("%.1f/s", z.Share*d.Load.Rate), strings.Join(parts, ", ")})
+	}
+	table(w, rows...)
+	fmt.Fprintln(w)
+	rows = [][]any{{"model", "cores", "speed", "slots", "queue", "cold from", "warm after", "pauses", "errors", "reports"}}
+	for _, name := range slices.Sorted(maps.Keys(d.Models)) {
+		m := d.Models[name]
+		pauses := "none"
+		if m.Pause > 0 {
+			pauses = fmt.Sprintf("%v every %v", m.Pause.D(), m.PauseEvery.D())
+		}
+		rows = append(rows, []any{name, m.Cores, m.Speed, m.Slots, m.Queue, percent(m.ColdFrom), m.Warm.D(), pauses, percent(m.ErrorRate),
+			fmt.Sprintf("every %v, %v late", m.ReportEvery.D(), m.ReportDelay.D())})
+	}
+	table(w, rows...)
+	fmt.Fprintln(w)
+	rows = [][]any{{"class", "share", "repeat", "aim", "deadline", "worth", "work", "wait"}}
+	for _, c := range d.Classes {
+		repeat := c.Repeat
+		if repeat == "keyed" {
+			repeat += " in its " + c.Group + " for " + c.Memory.D().String()
+		}
+		rows = append(rows, []any{c.Name, c.Share, repeat, c.Aim.D(), c.Deadline.D(), c.Worth, spread(c.Work), spread(c.Wait)})
+	}
+	table(w, rows...)
+	n := d.Network
+	fmt.Fprintf(w, "\none way: %v in a zone, %v between zones, %v between regions; %s lost\n", n.SameZone.D(), n.CrossZone.D(), n.CrossRegion.D(), percent(n.Loss))
+	changes, hits := d.Timetable()
+	if len(changes) == 0 {
+		fmt.Fprintln(w, "\nno faults")
+		return
+	}
+	fmt.Fprintln(w)
+	rows = [][]any{{"at", "", "fault", "on", "what it does"}}
+	for _, c := range changes {
+		what, about := "ends", ""
+		if c.On {
+			what, about = "begins", day.About(d.Faults[c.Fault].Kind)
+		}
+		rows = append(rows, []any{c.At, what, d.Faults[c.Fault].Kind, whom(d, f, c.Fault, hits[c.Fault]), about})
+	}
+	table(w, rows...)
+}
+
+// whom names those that a fault hits.
+func whom(d *day.Day, f *day.Fleet, i int, hit day.Hit) string {
+	fault := d.Faults[i]
+	if hit.Scope == day.OnLinks {
+		arrow := "<->"
+		if fault.OneWay {
+			arrow = "->"
+		}
+		return strings.Join(fault.From, " ") + " " + arrow + " " + strings.Join(fault.To, " ")
+	}
+	var names []string
+	for _, t := range hit.Targets {
+		switch hit.Scope {
+		case day.OnUpstreams:
+			names = append(names, f.Upstreams[t].Name)
+		case day.OnLoad:
+			names = append(names, f.Zones[t].Name)
+		default:
+			names = append(names, f.Balancers[t].Name)
+		}
+	}
+	if len(names) > 4 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:3], " "), len(names)-3)
+	}
+	return strings.Join(names, " ")
+}
+
+func spread(r day.Range) string { return fmt.Sprintf("%v to %v", r[0].D(), r[1].D()) }
+
+func percent(x float64) string { return fmt.Sprintf("%.1f%%", 100*x) }
+
+// showSummary writes what came of a day.
+func showSummary(w io.Writer, r *lab.Result) {
+	s := r.Summary
+	fmt.Fprintf(w, "%s, %s engine, seed %d: %d requests in %.0f s\n\n", s.Day, s.Engine, s.Seed, s.Settling.Requests+s.Main.Requests, s.Seconds)
+	rows := [][]any{{"", "requests", "worth served", "in time", "late", "refused", "failed", "not connected", "p50", "p99", "p99.9 ms"}}
+	for _, p := range []struct {
+		name string
+		measure.Part
+	}{{fmt.Sprintf("first %.0f s", s.Settle), s.Settling}, {"after that", s.Main}} {
+		row := []any{p.name, p.Requests, percent(p.Served)}
+		for _, e := range []measure.End{measure.InTime, measure.Late, measure.Refused, measure.Failed, measure.Unreached} {
+			row = append(row, percent(p.Share[e.String()]))
+		}
+		rows = append(rows, append(row, fmt.Sprintf("%.1f", p.Latency.P50), fmt.Sprintf("%.1f", p.Latency.P99), fmt.Sprintf("%.1f", p.Latency.P999)))
+	}
+	table(w, rows...)
+	fmt.Fprintf(w, "\nscore %.3f: worst 10 s %s", s.Score, percent(s.Worst))
+	for _, of := range []struct {
+		what string
+		m    map[string]float64
+	}{{"class", s.Class}, {"tenant", s.Tenant}} {
+		for _, name := range slices.Sorted(maps.Keys(of.m)) {
+			fmt.Fprintf(w, "; %s %s %s", of.what, name, percent(of.m[name]))
+		}
+	}
+	fmt.Fprintf(w, "\n%.3f attempts a request; %s of them cross a zone, %s a region\n", s.Attempts, percent(s.CrossZone), percent(s.CrossRegion))
+	showRecoveries(w, s.Recoveries)
+	if l := s.Lab; l != nil {
+		fmt.Fprintf(w, "the lab: arrivals late by %.2f ms at p50, %.2f at p99, %.1f at most; %.2f cores for it, %.2f for all balancers; %d requests met a closed connection and went again\n",
+			l.LateP50, l.LateP99, l.LateMax, l.LabCores, l.NodeCores, l.Crossed)
+		if l.Void != "" {
+			fmt.Fprintf(w, "VOID: %s\n", l.Void)
+		}
+	}
+	showViolations(w, r)
+}
+
+func showRecoveries(w io.Writer, all []measure.Recovery) {
+	if len(all) == 0 {
+		return
+	}
+	rows := [][]any{{"", "fault", "from", "to", "served before", "least", "back after its end"}}
+	for _, r := range all {
+		to, back := "the end", "not within the day"
+		if r.End >= 0 {
+			to = fmt.Sprintf("%.1f s", r.End)
+		}
+		if r.Back != nil {
+			back = fmt.Sprintf("%.1f s", *r.Back)
+		}
+		rows = append(rows, []any{"", r.Fault, fmt.Sprintf("%.1f s", r.At), to, percent(r.Before), percent(r.Least), back})
+	}
+	fmt.Fprintln(w)
+	table(w, rows...)
+	fmt.Fprintln(w)
+}
+
+// showViolations writes which rules held, and the histories of the first breaches.
+func showViolations(w io.Writer, r *lab.Result) {
+	for _, rule := range check.Rules {
+		if n := r.Summary.Broken[rule]; n > 0 {
+			fmt.Fprintf(w, "RULE BROKEN: %s, %d times\n", rule, n)
+		}
+	}
+	if len(r.Violations) == 0 {
+		fmt.Fprintln(w, "no rule was broken")
+		return
+	}
+	for _, v := range r.Violations[:min(shownViolations, len(r.Violations))] {
+		fmt.Fprintf(w, "\n%s at %v: %s\n", v.Rule, v.At.Round(time.Millisecond), v.What)
+		for _, e := range v.Trace[max(0, len(v.Trace)-traceLines):] {
+			fmt.Fprintln(w, "  ", e.Describe(r.Day, r.Fleet))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,47 @@
+// Package lab plays a day and tells what came of it: an engine makes a history, the checker judges it, the measures
+// count it.
+package lab
+
+import (
+	"context"
+
+	"sprucehill/internal/lab/check"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/history"
+	"sprucehill/internal/lab/live"
+	"sprucehill/internal/lab/measure"
+)
+
+// Result is a day that has been played.
+type Result struct {
+	Day        *day.Day
+	Fleet      *day.Fleet
+	Arrivals   []day.Arrival
+	Events     []history.Event
+	Violations []check.Violation
+	Summary    *measure.Summary
+}
+
+// Good tells whether no rule was broken and the day counts.
+func (r *Result) Good() bool {
+	return len(r.Violations) == 0 && (r.Summary.Lab == nil || r.Summary.Lab.Void == "")
+}
+
+// Live plays a day with real processes.
+func Live(ctx context.Context, d *day.Day, o live.Options) (*Result, error) {
+	out, err := live.Play(ctx, d, o)
+	if err != nil {
+		return nil, err
+	}
+	r := judged(d, "live", out.Events)
+	r.Summary.Lab = measure.LabOf(out.Lateness, d.Length.D().Seconds(), out.LabCPU, out.NodeCPU, out.Crossed)
+	return r, nil
+}
+
+// judged makes a result of a history.
+func judged(d *day.Day, engine string, events []history.Event) *Result {
+	r := &Result{Day: d, Fleet: d.Fleet(), Arrivals: d.Arrivals(), Events: events}
+	r.Violations = check.Judge(d, r.Fleet, events)
+	r.Summary = measure.Summarize(d, r.Fleet, engine, r.Arrivals, events, r.Violations)
+	return r
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,140 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"sprucehill/internal/lab/check"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/live"
+)
+
+// proofDay has what each rule needs to be broken: an upstream that returns cold, one that drains, a restart.
+const proofDay = `
+seed = 7
+length = "11s"
+settle = "1s"
+[[region]]
+name = "r"
+[[region.zone]]
+name = "z"
+balancers = 2
+upstreams = [{model = "m", count = 4}]
+[model.m]
+cores = 2
+speed = 0.5
+cold_from = 0.2
+warm = "8s"
+[balancer]
+memory_mb = 128
+[discovery]
+delay = "100ms"
+[[class]]
+name = "read"
+aim = "1s"
+deadline = "2s"
+work = ["30ms", "60ms"]
+[[class]]
+name = "buy"
+repeat = "unsafe"
+aim = "1s"
+deadline = "2s"
+work = ["30ms", "60ms"]
+[load]
+rate = 30
+[[fault]]
+at = "800ms"
+for = "700ms"
+kind = "down"
+target = ["upstream:z-u1"]
+[[fault]]
+at = "3s"
+kind = "drain"
+target = ["upstream:z-u2"]
+[[fault]]
+at = "5s"
+kind = "restart"
+target = ["balancer:z-b1"]
+`
+
+// build builds a command of this module.
+func build(t *testing.T, pkg string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), filepath.Base(pkg))
+	if out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return path
+}
+
+// play plays the proof day with a program; env goes before its command.
+func play(t *testing.T, command ...string) *Result {
+	t.Helper()
+	d, err := day.Parse("proof.toml", []byte(proofDay))
+	if err != nil {
+		t.Fatal(err)
+	}
+	work := t.TempDir()
+	r, err := Live(context.Background(), d, live.Options{Command: command, Dir: ".", Work: work})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if t.Cleanup(func() { tellLogs(t, d, work) }); len(r.Events) == 0 {
+		t.Fatal("nothing happened")
+	}
+	return r
+}
+
+// tellLogs writes seed and logs of a day that did not come out as it should.
+func tellLogs(t *testing.T, d *day.Day, work string) {
+	if !t.Failed() {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(work, "*", "log"))
+	for _, path := range logs {
+		text, _ := os.ReadFile(path)
+		t.Logf("seed %d, %s:\n%s", d.Seed, path, text[max(0, len(text)-4000):])
+	}
+}
+
+// Each bad balancer is caught by its own rule and by no other, and the good ones by none.
+func TestCheckerCatches(t *testing.T) {
+	bad, real := build(t, "./bad"), build(t, "../../cmd/olivearch")
+	for _, c := range []struct {
+		mode string
+		rule check.Rule
+	}{
+		{"good", ""}, {"twice", check.OneAnswer}, {"hasty", check.OneAnswer}, {"silent", check.OneAnswer},
+		{"forger", check.OneAnswer}, {"repeater", check.OneEffect}, {"inventor", check.OneEffect},
+		{"drained", check.Drained}, {"deaf", check.Drained}, {"flood", check.ColdStart}, {"hungry", check.Limits}, {"crasher", check.NoCrash},
+		{"orphan", check.NoLeftover}, {"olivearch", ""},
+	} {
+		t.Run(c.mode, func(t *testing.T) {
+			t.Parallel()
+			command := []string{"/usr/bin/env", "BAD=" + c.mode, bad}
+			if c.mode == "olivearch" {
+				command = []string{real}
+			}
+			r := play(t, command...)
+			caught := false
+			for _, v := range r.Violations {
+				if caught = caught || v.Rule == c.rule; v.Rule == c.rule {
+					continue
+				}
+				t.Errorf("%s at %v: %s", v.Rule, v.At, v.What)
+				for _, e := range v.Trace[:min(len(v.Trace), 20)] {
+					t.Log(e.Describe(r.Day, r.Fleet))
+				}
+			}
+			if c.rule != "" && !caught {
+				t.Errorf("not caught: %s", c.rule)
+			}
+			if r.Summary.Main.Share["served in time"] < 0.5 && c.mode != "flood" && c.mode != "crasher" {
+				t.Errorf("a day that tells nothing: %v", r.Summary.Main.Share)
+			}
+		})
+	}
+}
