--- a/cmd/sprucehill/lab.go
+++ b/cmd/sprucehill/lab.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"time"
 
 	"golang.org/x/term"
@@ -13,6 +14,7 @@
 	"sprucehill/internal/lab"
 	"sprucehill/internal/lab/day"
 	"sprucehill/internal/lab/live"
+	"sprucehill/internal/lab/model"
 	"sprucehill/internal/lab/program"
 )
 
@@ -56,6 +58,8 @@
 type runCmd struct {
 	File    string `arg:"" help:"Day file." type:"existingfile" predictor:"file"`
 	Engine  string `help:"live: real processes of the balancer on loopback. model: its decisions in virtual time." enum:"live,model" default:"live"`
+	Policy  string `help:"Model engine: what decides: sprucehill, round-robin, least-loaded or random-of-two." default:"sprucehill"`
+	Workers int    `help:"Model engine: workers at once; 0: one for each core. The outcome is the same."`
 	Seed    uint64 `help:"Draw the day by this seed instead of the file's."`
 	Out     string `help:"Folder for the report, and for logs of processes." default:"found/lab" type:"path"`
 	Program string `help:"Work tree of the balancer, built by its deploy/balancer.toml." default:"." type:"existingdir"`
@@ -105,6 +109,12 @@
 }
 
 func (c *runCmd) play(ctx context.Context, d *day.Day, out string, p *progress) (*lab.Result, error) {
+	if c.Engine == "model" {
+		if c.Workers == 0 {
+			c.Workers = runtime.GOMAXPROCS(0)
+		}
+		return lab.Model(ctx, d, model.Options{Workers: c.Workers, Policy: c.Policy, Progress: p.at})
+	}
 	balancer, err := program.Find(c.Program)
 	if err != nil {
 		return nil, err
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -10,6 +10,7 @@
 	"sprucehill/internal/lab/history"
 	"sprucehill/internal/lab/live"
 	"sprucehill/internal/lab/measure"
+	"sprucehill/internal/lab/model"
 )
 
 // Result is a day that has been played.
@@ -38,6 +39,15 @@
 	return r, nil
 }
 
+// Model plays a day in virtual time.
+func Model(ctx context.Context, d *day.Day, o model.Options) (*Result, error) {
+	events, err := model.Play(ctx, d, o)
+	if err != nil {
+		return nil, err
+	}
+	return judged(d, "model", events), nil
+}
+
 // judged makes a result of a history.
 func judged(d *day.Day, engine string, events []history.Event) *Result {
 	r := &Result{Day: d, Fleet: d.Fleet(), Arrivals: d.Arrivals(), Events: events}
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -26,7 +26,8 @@
 	overShare = 0.05
 	// back is how close to the level before a fault a window has to come.
 	back = 0.05
-	// levelWindows is how many windows before a fault make the level.
+	// levelWindows is how many windows before a fault make the level. The last one before it is left out: what came in
+	// it was still out when the fault began.
 	levelWindows = 5
 	// worstKept is how many of the slowest and failed requests are kept for the report.
 	worstKept = 20
@@ -391,7 +392,7 @@
 		}
 		first := int(r.At / width)
 		var t tally
-		for _, w := range windows[max(0, first-levelWindows):first] {
+		for _, w := range windows[max(0, first-1-levelWindows):max(0, first-1)] {
 			t.asked, t.served = t.asked+w.asked, t.served+w.served
 		}
 		r.Before = ratio(t.served, t.asked)
--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,245 @@
+package model
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"sprucehill/internal/lab/check"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/history"
+)
+
+// everything is a day with every kind of fault, some of them over each other.
+const everything = `
+seed = 3
+length = "14s"
+[[region]]
+name = "west"
+[[region.zone]]
+name = "a"
+balancers = 3
+upstreams = [{model = "m", count = 5}]
+[[region.zone]]
+name = "b"
+balancers = 2
+upstreams = [{model = "m", count = 4}]
+[[region]]
+name = "east"
+[[region.zone]]
+name = "c"
+balancers = 3
+upstreams = [{model = "m", count = 5}]
+[model.m]
+cores = 2
+pause_every = "2s"
+pause = "50ms"
+error_rate = 0.01
+connections = 40
+[network]
+loss = 0.001
+[[class]]
+name = "read"
+aim = "600ms"
+deadline = "2s"
+work = ["20ms", "60ms"]
+wait = ["20ms", "60ms"]
+[[class]]
+name = "buy"
+repeat = "unsafe"
+aim = "1s"
+deadline = "3s"
+work = ["30ms", "90ms"]
+[[class]]
+name = "keyed"
+repeat = "keyed"
+group = "zone"
+aim = "1s"
+deadline = "3s"
+work = ["30ms", "90ms"]
+[[tenant]]
+name = "t"
+share = 1
+quota = 100
+[clients]
+retries = 2
+wait = "50ms"
+budget = 0.2
+impatience = 0.02
+[load]
+rate = 150
+shape = "wave"
+swing = 0.3
+`
+
+// withFaults adds one fault of each kind to everything.
+func withFaults(t *testing.T) *day.Day {
+	t.Helper()
+	text := everything
+	for i, f := range []string{
+		`kind = "cut"` + "\n" + `from = ["zone:a"]` + "\n" + `to = ["zone:b"]`,
+		`kind = "cut"` + "\n" + `from = ["balancer:a-b1"]` + "\n" + `to = ["all"]` + "\n" + `one_way = true`,
+		`kind = "delay"` + "\n" + `delay = "30ms"` + "\n" + `from = ["region:west"]` + "\n" + `to = ["region:east"]`,
+		`kind = "lossy"` + "\n" + `size = 0.1` + "\n" + `from = ["zone:a"]` + "\n" + `to = ["zone:c"]`,
+		`kind = "slow"` + "\n" + `rate = 20000` + "\n" + `from = ["zone:b"]` + "\n" + `to = ["all"]`,
+		`kind = "reset"` + "\n" + `from = ["all"]` + "\n" + `to = ["zone:c"]`,
+		`kind = "down"` + "\n" + `target = ["upstream:a-u1"]`,
+		`kind = "vanish"` + "\n" + `target = ["upstream:b-u1"]`,
+		`kind = "drain"` + "\n" + `target = ["upstream:c-u1"]`,
+		`kind = "errors"` + "\n" + `size = 0.5` + "\n" + `target = ["upstream:c-*"]` + "\n" + `part = 0.4`,
+		`kind = "neighbour"` + "\n" + `size = 0.5` + "\n" + `target = ["upstream:a-*"]` + "\n" + `part = 0.4`,
+		`kind = "late"` + "\n" + `delay = "2s"` + "\n" + `target = ["all"]`,
+		`kind = "kill"` + "\n" + `target = ["balancer:b-b1"]`,
+		`kind = "term"` + "\n" + `target = ["balancer:c-b1"]`,
+		`kind = "restart"` + "\n" + `target = ["balancer:a-b2"]`,
+		`kind = "freeze"` + "\n" + `target = ["balancer:c-b2"]`,
+		`kind = "clock"` + "\n" + `delay = "3s"` + "\n" + `target = ["balancer:a-b3"]`,
+		`kind = "discovery-silent"` + "\n" + `target = ["balancer:b-b2"]`,
+		`kind = "burst"` + "\n" + `size = 1.5`,
+	} {
+		text += fmt.Sprintf("[[fault]]\nat = \"%dms\"\nfor = \"2s\"\n%s\n", 2000+450*i, f)
+	}
+	d, err := day.Parse("everything.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func play(t *testing.T, d *day.Day, o Options) []history.Event {
+	t.Helper()
+	events, err := Play(context.Background(), d, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
+// One day gives one history, to the byte, whatever the number of workers and however often it is played.
+func TestSameOnAnyWorkers(t *testing.T) {
+	d := withFaults(t)
+	one := play(t, d, Options{Workers: 1})
+	if len(one) < 5000 {
+		t.Fatalf("only %d events", len(one))
+	}
+	for _, workers := range []int{1, 3, 8} {
+		if other := play(t, d, Options{Workers: workers}); !reflect.DeepEqual(one, other) {
+			t.Errorf("%d workers gave another history", workers)
+		}
+	}
+	d.Seed++
+	if reflect.DeepEqual(one, play(t, d, Options{Workers: 1})) {
+		t.Error("another seed gave the same history")
+	}
+}
+
+// Every attempt that an upstream took ends, and every request that was asked has an end.
+func TestNothingIsForgotten(t *testing.T) {
+	d := withFaults(t)
+	type key struct {
+		req      uint64
+		upstream int32
+		serial   int32
+	}
+	open, asked := map[key]history.Event{}, map[uint64]history.Event{}
+	toppled := map[int32]bool{}
+	for _, e := range play(t, d, Options{Workers: 4}) {
+		switch e.Kind {
+		case history.Arrived:
+			open[key{e.Req, e.Upstream, e.Serial}] = e
+		case history.Replied, history.Abandoned:
+			delete(open, key{e.Req, e.Upstream, e.Serial})
+		case history.Asked:
+			asked[e.Req] = e
+		case history.Answered, history.Broken, history.Silent, history.Left:
+			delete(asked, e.Req)
+		case history.Toppled:
+			toppled[e.Upstream] = true
+		}
+	}
+	for _, e := range open {
+		if !toppled[e.Upstream] {
+			t.Errorf("never ended: %s", e.Describe(d, d.Fleet()))
+		}
+	}
+	for _, e := range asked {
+		t.Errorf("never answered: %s", e.Describe(d, d.Fleet()))
+	}
+}
+
+// The module breaks no rule on any example, whichever of three seeds draws it.
+func TestExamplesKeepTheRules(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/*.toml")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("%d examples: %v", len(files), err)
+	}
+	for _, file := range files {
+		d, err := day.LoadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(d.Fleet().Balancers) > 50 { // its own time is measured in docs/lab.md
+			continue
+		}
+		for seed := range uint64(3) {
+			d.Seed = seed + 1
+			for _, v := range check.Judge(d, d.Fleet(), play(t, d, Options{Workers: 2})) {
+				t.Errorf("%s, seed %d: %s at %v: %s", file, d.Seed, v.Rule, v.At, v.What)
+			}
+		}
+	}
+}
+
+// A baseline that knows nothing of cold upstreams pushes one over, and the checker tells so in virtual time too. The
+// module does not.
+func TestColdUpstreamInTheModel(t *testing.T) {
+	text := everything + `
+[[fault]]
+at = "3s"
+for = "1s"
+kind = "down"
+target = ["upstream:*"]
+part = 0.8
+`
+	d, err := day.Parse("cold.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Load.Rate *= 3
+	broken := func(policy string) int {
+		n := 0
+		for _, v := range check.Judge(d, d.Fleet(), play(t, d, Options{Policy: policy})) {
+			if v.Rule == check.ColdStart {
+				n++
+			}
+		}
+		return n
+	}
+	if broken("round-robin") == 0 {
+		t.Error("round robin pushed nobody over")
+	}
+	if n := broken("sprucehill"); n > 0 {
+		t.Errorf("the module pushed %d over", n)
+	}
+}
+
+// A zone that is cut off hears nothing and is heard of when the cut ends: what was on its way comes then.
+func TestCutHoldsMessages(t *testing.T) {
+	d := withFaults(t)
+	d.Faults = d.Faults[:1]
+	during := 0
+	for _, e := range play(t, d, Options{}) {
+		from, to := d.Faults[0].At.D()+50*time.Millisecond, (d.Faults[0].At + d.Faults[0].For).D()
+		if e.Kind == history.Arrived && e.At > from && e.At < to {
+			if f := d.Fleet(); f.Balancers[e.Balancer].Zone+f.Upstreams[e.Upstream].Zone == 1 { // zones 0 and 1
+				during++
+			}
+		}
+	}
+	if during > 0 {
+		t.Errorf("%d requests came over a cut", during)
+	}
+}
--- /dev/null
+++ b/internal/lab/model/policy.go
@@ -0,0 +1,167 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"sprucehill"
+	"sprucehill/internal/lab/day"
+)
+
+// newPolicy makes what decides for a balancer.
+type newPolicy func(s sprucehill.Settings, seed uint64, now time.Duration, host sprucehill.Host) (sprucehill.Events, error)
+
+// Policies names what a day can be modelled with: the program's own module, and plain baselines to set it against.
+var Policies = []string{own, "round-robin", "least-loaded", "random-of-two"}
+
+const own = "sprucehill"
+
+func policyOf(name string) (newPolicy, error) {
+	switch name {
+	case "", own:
+		return func(s sprucehill.Settings, seed uint64, now time.Duration, host sprucehill.Host) (sprucehill.Events, error) {
+			return sprucehill.New(s, seed, now, host)
+		}, nil
+	case "round-robin":
+		return plain((*baseline).inTurn), nil
+	case "least-loaded":
+		return plain((*baseline).leastLoaded), nil
+	case "random-of-two":
+		return plain((*baseline).randomOfTwo), nil
+	}
+	return nil, fmt.Errorf("%w: policy %q is not one of %s", day.ErrInput, name, strings.Join(Policies, ", "))
+}
+
+// baseline picks by one plain rule among the upstreams that its list calls up. It keeps the rules on repeats, tries
+// another upstream where one proves that it did not run a request, and knows nothing of cold ones, use or silence.
+type baseline struct {
+	settings sprucehill.Settings
+	host     sprucehill.Host
+	rng      *rand.Rand
+	choose   func(b *baseline, up []sprucehill.Upstream) sprucehill.UpstreamID
+	classes  map[string]sprucehill.Class
+	list     []sprucehill.Upstream // in order of ids
+	up       []sprucehill.Upstream
+	out      map[sprucehill.UpstreamID]int
+	requests map[sprucehill.RequestID]*tried
+	turn     int
+}
+
+// tried is a request that has no answer yet.
+type tried struct {
+	class    sprucehill.Class
+	deadline time.Duration
+	attempts int
+	last     sprucehill.UpstreamID
+	ran      bool // it may have
+}
+
+func plain(choose func(*baseline, []sprucehill.Upstream) sprucehill.UpstreamID) newPolicy {
+	return func(s sprucehill.Settings, seed uint64, _ time.Duration, host sprucehill.Host) (sprucehill.Events, error) {
+		b := &baseline{settings: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), choose: choose,
+			classes: map[string]sprucehill.Class{}, out: map[sprucehill.UpstreamID]int{}, requests: map[sprucehill.RequestID]*tried{}}
+		for _, c := range s.Classes {
+			b.classes[c.Name] = c
+		}
+		b.turn = b.rng.IntN(math.MaxInt32) // or all begin with the same one
+		return b, nil
+	}
+}
+
+func (b *baseline) inTurn(up []sprucehill.Upstream) sprucehill.UpstreamID {
+	b.turn++
+	return up[b.turn%len(up)].ID
+}
+
+func (b *baseline) leastLoaded(up []sprucehill.Upstream) sprucehill.UpstreamID {
+	at := b.rng.IntN(len(up)) // of equals, any
+	best := up[at]
+	for i := range up {
+		if u := up[(at+i)%len(up)]; float64(b.out[u.ID])/u.Weight < float64(b.out[best.ID])/best.Weight {
+			best = u
+		}
+	}
+	return best.ID
+}
+
+func (b *baseline) randomOfTwo(up []sprucehill.Upstream) sprucehill.UpstreamID {
+	x, y := up[b.rng.IntN(len(up))], up[b.rng.IntN(len(up))]
+	if float64(b.out[y.ID])/y.Weight < float64(b.out[x.ID])/x.Weight {
+		x = y
+	}
+	return x.ID
+}
+
+// Members takes what discovery says.
+func (b *baseline) Members(_ time.Duration, mode sprucehill.ListMode, list []sprucehill.Upstream) {
+	if mode == sprucehill.ListFailed {
+		return
+	}
+	if mode != sprucehill.ListDelta {
+		b.list = nil
+	}
+	for _, u := range list {
+		i, known := slices.BinarySearchFunc(b.list, u.ID, func(x sprucehill.Upstream, id sprucehill.UpstreamID) int { return int(x.ID) - int(id) })
+		if known {
+			b.list[i] = u
+		} else {
+			b.list = slices.Insert(b.list, i, u)
+		}
+	}
+	b.up = slices.DeleteFunc(slices.Clone(b.list), func(u sprucehill.Upstream) bool { return u.State != sprucehill.Active })
+}
+
+// Request takes a client's request.
+func (b *baseline) Request(now time.Duration, q sprucehill.Request) {
+	r := &tried{class: b.classes[q.Class], deadline: now + q.Budget}
+	b.requests[q.ID] = r
+	b.try(now, q.ID, r)
+}
+
+func (b *baseline) try(now time.Duration, id sprucehill.RequestID, r *tried) {
+	safe := !r.ran || r.class.Repeat == sprucehill.Safe
+	switch {
+	case len(b.up) > 0 && now < r.deadline && r.attempts < b.settings.Limits.MaxAttempts && safe:
+		up := b.up
+		if others := slices.DeleteFunc(slices.Clone(up), func(u sprucehill.Upstream) bool { return u.ID == r.last }); r.attempts > 0 && len(others) > 0 {
+			up = others
+		}
+		r.last = b.choose(b, up)
+		r.attempts++
+		b.out[r.last]++
+		b.host.Send(id, r.last, 0)
+	case safe:
+		delete(b.requests, id)
+		b.host.Refuse(id, 0)
+	default:
+		delete(b.requests, id)
+		b.host.Fail(id)
+	}
+}
+
+// Outcome takes the end of an attempt.
+func (b *baseline) Outcome(now time.Duration, o sprucehill.Outcome) {
+	b.out[o.Upstream]--
+	r := b.requests[o.ID]
+	switch {
+	case r == nil:
+	case o.Status == sprucehill.OK || o.Closed:
+		delete(b.requests, o.ID)
+	default:
+		r.ran = r.ran || !(o.Status == sprucehill.Full || o.Status == sprucehill.ConnectFailed || o.Status == sprucehill.Moot)
+		b.try(now, o.ID, r)
+	}
+}
+
+// Gone drops a request whose client has left.
+func (b *baseline) Gone(_ time.Duration, id sprucehill.RequestID) { delete(b.requests, id) }
+
+// The rest tells a baseline nothing.
+func (b *baseline) Written(time.Duration, sprucehill.RequestID, int) {}
+func (b *baseline) Started(time.Duration, sprucehill.RequestID, int) {}
+func (b *baseline) Probed(time.Duration, sprucehill.ProbeResult)     {}
+func (b *baseline) Timer(now time.Duration, token uint64)            {}
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -178,7 +178,7 @@
 	if s.now < s.pauseEnd {
 		next = min(next, s.pauseEnd)
 	}
-	if len(s.waiting.of) > 0 {
+	if len(s.waiting.of) > 0 && !s.toppled {
 		next = min(next, s.waiting.of[0].ready)
 	}
 	if p := s.pace(); p > 0 {
@@ -196,9 +196,12 @@
 func (s *Server) Advance(now time.Duration) []Done {
 	ended := s.done // at once, as it arrived
 	s.done = s.told[:0]
+	if s.Next() <= s.now { // due since something arrived at this very moment
+		s.settle()
+		ended, s.done = append(ended, s.done...), s.done[:0]
+	}
 	for s.now < now {
-		next := min(max(s.Next(), s.now+1), now)
-		s.progress(next)
+		s.progress(min(max(s.Next(), s.now+1), now))
 		s.settle()
 		ended, s.done = append(ended, s.done...), s.done[:0]
 	}
