--- a/cmd/sprucehill/lab.go
+++ b/cmd/sprucehill/lab.go
@@ -16,6 +16,7 @@
 	"sprucehill/internal/lab/live"
 	"sprucehill/internal/lab/model"
 	"sprucehill/internal/lab/program"
+	"sprucehill/internal/lab/report"
 )
 
 // checkCmd is lab check.
@@ -92,12 +93,17 @@
 			return err
 		}
 	}
+	path, err := report.Write(out, r)
+	if err != nil {
+		return err
+	}
 	if c.JSON {
 		if err := writeJSON(r.Summary); err != nil {
 			return err
 		}
 	} else {
 		showSummary(os.Stdout, r)
+		fmt.Println("report:", path)
 	}
 	switch {
 	case r.Summary.Lab != nil && r.Summary.Lab.Void != "":
@@ -157,7 +163,11 @@
 }
 
 func newProgress(d *day.Day) *progress {
-	return &progress{length: d.Length.D(), on: term.IsTerminal(int(os.Stderr.Fd()))}
+	p := &progress{on: term.IsTerminal(int(os.Stderr.Fd()))}
+	if d != nil {
+		p.length = d.Length.D()
+	}
+	return p
 }
 
 func (p *progress) say(what string) {
--- a/cmd/sprucehill/text.go
+++ b/cmd/sprucehill/text.go
@@ -93,38 +93,11 @@
 		if c.On {
 			what, about = "begins", day.About(d.Faults[c.Fault].Kind)
 		}
-		rows = append(rows, []any{c.At, what, d.Faults[c.Fault].Kind, whom(d, f, c.Fault, hits[c.Fault]), about})
+		rows = append(rows, []any{c.At, what, d.Faults[c.Fault].Kind, d.Whom(f, c.Fault, hits[c.Fault]), about})
 	}
 	table(w, rows...)
 }
 
-// whom names those that a fault hits.
-func whom(d *day.Day, f *day.Fleet, i int, hit day.Hit) string {
-	fault := d.Faults[i]
-	if hit.Scope == day.OnLinks {
-		arrow := "<->"
-		if fault.OneWay {
-			arrow = "->"
-		}
-		return strings.Join(fault.From, " ") + " " + arrow + " " + strings.Join(fault.To, " ")
-	}
-	var names []string
-	for _, t := range hit.Targets {
-		switch hit.Scope {
-		case day.OnUpstreams:
-			names = append(names, f.Upstreams[t].Name)
-		case day.OnLoad:
-			names = append(names, f.Zones[t].Name)
-		default:
-			names = append(names, f.Balancers[t].Name)
-		}
-	}
-	if len(names) > 4 {
-		return fmt.Sprintf("%s and %d more", strings.Join(names[:3], " "), len(names)-3)
-	}
-	return strings.Join(names, " ")
-}
-
 func spread(r day.Range) string { return fmt.Sprintf("%v to %v", r[0].D(), r[1].D()) }
 
 func percent(x float64) string { return fmt.Sprintf("%.1f%%", 100*x) }
--- a/internal/lab/day/fault.go
+++ b/internal/lab/day/fault.go
@@ -169,3 +169,30 @@
 
 // About tells what kind of fault does.
 func About(kind string) string { return kinds[kind].about }
+
+// Whom names those that fault i hits, for people.
+func (d *Day) Whom(f *Fleet, i int, hit Hit) string {
+	fault := d.Faults[i]
+	if hit.Scope == OnLinks {
+		arrow := "<->"
+		if fault.OneWay {
+			arrow = "->"
+		}
+		return strings.Join(fault.From, " ") + " " + arrow + " " + strings.Join(fault.To, " ")
+	}
+	var names []string
+	for _, t := range hit.Targets {
+		switch hit.Scope {
+		case OnUpstreams:
+			names = append(names, f.Upstreams[t].Name)
+		case OnLoad:
+			names = append(names, f.Zones[t].Name)
+		default:
+			names = append(names, f.Balancers[t].Name)
+		}
+	}
+	if len(names) > 4 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:3], " "), len(names)-3)
+	}
+	return strings.Join(names, " ")
+}
--- /dev/null
+++ b/internal/lab/report/plot.go
@@ -0,0 +1,317 @@
+package report
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette/moreland"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"sprucehill/internal/lab"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/measure"
+)
+
+// The look of all plots: dark lines that differ in dashes too, so that they can be told apart in print.
+var (
+	inks = []color.RGBA{{0x1b, 0x6c, 0xa8, 255}, {0xc0, 0x39, 0x2b, 255}, {0x1e, 0x84, 0x49, 255}, {0x7d, 0x3c, 0x98, 255},
+		{0xb9, 0x77, 0x0e, 255}, {0x34, 0x49, 0x5e, 255}, {0x11, 0x7a, 0x65, 255}, {0x6e, 0x2c, 0x00, 255}}
+	dashes = [][]vg.Length{nil, {vg.Points(6), vg.Points(3)}, {vg.Points(2), vg.Points(2)}, {vg.Points(8), vg.Points(3), vg.Points(2), vg.Points(3)}}
+	shade  = color.NRGBA{0xd3, 0x54, 0x00, 0x1c}
+)
+
+const (
+	plotWidth  = 10 * vg.Inch
+	plotHeight = 3.1 * vg.Inch
+	// stripRow is the height of a fault's bar above the series, in parts of the axis.
+	stripRow = 0.09
+	// mostUpstreams is how many upstreams get a row of their own; more are put together by zone.
+	mostUpstreams = 60
+	// mostPairs is how many pairs of zones get a line of their own.
+	mostPairs = 9
+)
+
+// legendRoom is how far the axis of time goes on beyond the day, so that the legend stands beside the lines.
+const legendRoom = 1.2
+
+// within has ticks for the day's time only.
+type within struct{ seconds float64 }
+
+func (w within) Ticks(lo, _ float64) []plot.Tick { return plot.DefaultTicks{}.Ticks(lo, w.seconds) }
+
+// newPlot is a plot over the day's time with its axes.
+func newPlot(title, y string, seconds float64) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "time of the day, s"
+	p.Y.Label.Text = y
+	p.X.Min, p.X.Max = 0, seconds*legendRoom
+	p.X.Tick.Marker = within{seconds}
+	p.Title.Padding = vg.Points(6)
+	p.Legend.Top, p.Legend.XOffs = true, -vg.Points(6)
+	p.Legend.Padding = vg.Points(2)
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// line adds a line of a number of its own.
+func line(p *plot.Plot, name string, index int, points plotter.XYs) error {
+	l, err := plotter.NewLine(points)
+	if err != nil {
+		return fmt.Errorf("plotting %s: %w", name, err)
+	}
+	l.Color, l.Width, l.Dashes = inks[index%len(inks)], vg.Points(1.5), dashes[(index+index/len(inks))%len(dashes)]
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
+
+// over takes a figure of each window.
+func over(series []measure.Window, of func(measure.Window) (float64, bool)) plotter.XYs {
+	var points plotter.XYs
+	for _, w := range series {
+		if y, ok := of(w); ok {
+			points = append(points, plotter.XY{X: w.At, Y: y})
+		}
+	}
+	return points
+}
+
+// span is when a fault is on, within the day.
+func span(d *day.Day, f day.Fault) (from, to float64) {
+	from, to = f.At.D().Seconds(), d.Length.D().Seconds()
+	if f.For > 0 {
+		to = min(to, (f.At + f.For).D().Seconds())
+	}
+	if f.Kind == "reset" || f.Kind == "restart" {
+		to = min(to, from+0.2) // a moment, wide enough to be seen
+	}
+	return from, to
+}
+
+// box is a filled rectangle.
+func box(p *plot.Plot, x0, x1, y0, y1 float64, fill color.Color) error {
+	b, err := plotter.NewPolygon(plotter.XYs{{X: x0, Y: y0}, {X: x1, Y: y0}, {X: x1, Y: y1}, {X: x0, Y: y1}})
+	if err != nil {
+		return err
+	}
+	b.Color, b.LineStyle.Width = fill, 0
+	p.Add(b)
+	return nil
+}
+
+// servedPlot has the share of worth served, with the timetable of faults above it.
+func servedPlot(r *lab.Result) (*plot.Plot, error) {
+	s := r.Summary
+	p := newPlot(fmt.Sprintf("%s, %s engine: worth served in time", s.Day, s.Engine), "share of the worth that came", s.Seconds)
+	top := 1.02
+	for i, f := range r.Day.Faults {
+		from, to := span(r.Day, f)
+		y := 1.04 + float64(i)*stripRow
+		ink := inks[(i+1)%len(inks)]
+		if err := box(p, from, to, y, y+stripRow*0.7, color.NRGBA{ink.R, ink.G, ink.B, 0x99}); err != nil {
+			return nil, err
+		}
+		if err := box(p, from, to, 0, 1, shade); err != nil {
+			return nil, err
+		}
+		labels, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: to + s.Seconds*0.005, Y: y + stripRow*0.1}}, Labels: []string{f.Kind}})
+		if err != nil {
+			return nil, err
+		}
+		p.Add(labels)
+		top = y + stripRow
+	}
+	p.Y.Min, p.Y.Max = 0, top
+	p.Y.Tick.Marker = plot.ConstantTicks([]plot.Tick{{Value: 0, Label: "0%"}, {Value: 0.25, Label: "25%"}, {Value: 0.5, Label: "50%"},
+		{Value: 0.75, Label: "75%"}, {Value: 1, Label: "100%"}})
+	p.Legend.Top, p.Legend.YOffs = false, vg.Points(12)
+	return p, line(p, "served in time", 0, over(s.Series, func(w measure.Window) (float64, bool) { return w.Share, w.Share >= 0 }))
+}
+
+// shaded adds when faults are on to a plot whose y axis ends at top.
+func shaded(p *plot.Plot, d *day.Day, top float64) error {
+	p.Y.Min, p.Y.Max = 0, top
+	for _, f := range d.Faults {
+		from, to := span(d, f)
+		if err := box(p, from, to, 0, top, shade); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// linesPlot has some figures of each window as lines.
+func linesPlot(r *lab.Result, title, y string, names []string, of func(w measure.Window, i int) float64) (*plot.Plot, error) {
+	p := newPlot(title, y, r.Summary.Seconds)
+	top := 0.0
+	for i := range names {
+		for _, w := range r.Summary.Series {
+			top = max(top, of(w, i))
+		}
+	}
+	if err := shaded(p, r.Day, max(top*1.25, 1e-6)); err != nil {
+		return nil, err
+	}
+	for i, name := range names {
+		if err := line(p, name, i, over(r.Summary.Series, func(w measure.Window) (float64, bool) { return of(w, i), true })); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// perSecond is a count of a window as a rate.
+func perSecond(r *lab.Result, n int) float64 { return float64(n) / r.Day.Window.D().Seconds() }
+
+// zonesPlot has the traffic between zones, the busiest pairs as lines of their own.
+func zonesPlot(r *lab.Result) (*plot.Plot, error) {
+	type pair struct{ from, to, n int }
+	var pairs []pair
+	for from := range r.Fleet.Zones {
+		for to := range r.Fleet.Zones {
+			n := 0
+			for _, w := range r.Summary.Series {
+				n += w.Zones[from][to]
+			}
+			pairs = append(pairs, pair{from, to, n})
+		}
+	}
+	sortBy(pairs, func(p pair) int { return -p.n })
+	pairs = pairs[:min(len(pairs), mostPairs)]
+	names := make([]string, len(pairs))
+	for i, p := range pairs {
+		names[i] = r.Fleet.Zones[p.from].Name + " to " + r.Fleet.Zones[p.to].Name
+	}
+	return linesPlot(r, "Traffic from zone to zone", "attempts a second", names, func(w measure.Window, i int) float64 {
+		return perSecond(r, w.Zones[pairs[i].from][pairs[i].to])
+	})
+}
+
+// shares is a grid of each upstream's part of a window's attempts.
+type shares struct {
+	series []measure.Window
+	rows   [][]int // indices of upstreams
+}
+
+func (g shares) Dims() (int, int) { return len(g.series), len(g.rows) }
+func (g shares) Z(c, r int) float64 {
+	w := g.series[c]
+	n := 0
+	for _, u := range g.rows[r] {
+		n += w.Upstream[u]
+	}
+	if w.Attempts == 0 {
+		return 0
+	}
+	return 100 * float64(n) / float64(w.Attempts) / float64(len(g.rows[r])) // percent, for one upstream
+}
+func (g shares) X(c int) float64 {
+	if len(g.series) > 1 {
+		return g.series[c].At + (g.series[1].At-g.series[0].At)/2
+	}
+	return g.series[c].At
+}
+func (g shares) Y(r int) float64 { return float64(r) }
+
+// sharesPlot shows how attempts are shared among upstreams over time.
+func sharesPlot(r *lab.Result) (*plot.Plot, error) {
+	g := shares{series: r.Summary.Series}
+	var ticks []plot.Tick
+	row := func(name string, upstreams []int) {
+		ticks = append(ticks, plot.Tick{Value: float64(len(g.rows)), Label: name})
+		g.rows = append(g.rows, upstreams)
+	}
+	title := "Share of attempts by upstream"
+	if len(r.Fleet.Upstreams) <= mostUpstreams {
+		for i, u := range r.Fleet.Upstreams {
+			row(u.Name+" "+u.Model, []int{i})
+		}
+	} else {
+		title += ", mean of each zone"
+		for z, zone := range r.Fleet.Zones {
+			var of []int
+			for i, u := range r.Fleet.Upstreams {
+				if u.Zone == z {
+					of = append(of, i)
+				}
+			}
+			if len(of) > 0 {
+				row(zone.Name, of)
+			}
+		}
+	}
+	colors := moreland.ExtendedBlackBody()
+	colors.SetMin(0)
+	colors.SetMax(1)
+	h := plotter.NewHeatMap(g, colors.Palette(64))
+	if h.Max <= h.Min {
+		h.Max = h.Min + 1
+	}
+	p := newPlot(fmt.Sprintf("%s: dark none, bright %.2f%%", title, h.Max), "upstream", r.Summary.Seconds)
+	p.Add(h)
+	p.X.Max = r.Summary.Seconds // it has no legend
+	p.Y.Tick.Marker = plot.ConstantTicks(ticks)
+	p.Y.Tick.Label.Font.Size = vg.Points(max(4, min(8, 200/float64(len(g.rows)))))
+	p.Y.Min, p.Y.Max = -0.5, float64(len(g.rows))-0.5
+	return p, nil
+}
+
+// figure is a plot with its size.
+type figure struct {
+	name   string
+	plot   *plot.Plot
+	height vg.Length
+}
+
+// figures makes all plots of a day.
+func figures(r *lab.Result) ([]figure, error) {
+	served, err := servedPlot(r)
+	if err != nil {
+		return nil, err
+	}
+	latency, err := linesPlot(r, "Latency of what was served, from when it was to be sent", "milliseconds", []string{"p99", "p50"},
+		func(w measure.Window, i int) float64 { return []float64{w.P99, w.P50}[i] })
+	if err != nil {
+		return nil, err
+	}
+	kinds := []measure.End{measure.InTime, measure.Late, measure.Refused, measure.Failed, measure.Unreached}
+	names := make([]string, len(kinds))
+	for i, k := range kinds {
+		names[i] = k.String()
+	}
+	ends, err := linesPlot(r, "How requests ended", "requests a second", names, func(w measure.Window, i int) float64 { return perSecond(r, w.Ends[kinds[i]]) })
+	if err != nil {
+		return nil, err
+	}
+	share := func(n, of int) float64 {
+		if of == 0 {
+			return 0
+		}
+		return 100 * float64(n) / float64(of)
+	}
+	cross, err := linesPlot(r, "Attempts that leave their zone, and their region", "percent of attempts", []string{"another zone", "another region"},
+		func(w measure.Window, i int) float64 { return share([]int{w.CrossZone, w.CrossRegion}[i], w.Attempts) })
+	if err != nil {
+		return nil, err
+	}
+	zones, err := zonesPlot(r)
+	if err != nil {
+		return nil, err
+	}
+	byUpstream, err := sharesPlot(r)
+	if err != nil {
+		return nil, err
+	}
+	rows := math.Min(float64(len(r.Fleet.Upstreams)), mostUpstreams)
+	return []figure{{"served", served, plotHeight + vg.Length(len(r.Day.Faults))*0.12*vg.Inch}, {"latency", latency, plotHeight},
+		{"ends", ends, plotHeight}, {"cross", cross, plotHeight}, {"zones", zones, plotHeight},
+		{"upstreams", byUpstream, max(plotHeight, vg.Length(rows)*0.12*vg.Inch)}}, nil
+}
+
+// drawn draws a plot on a canvas.
+func drawn(f figure, c vg.CanvasSizer) { f.plot.Draw(draw.New(c)) }
