Compare two sides on the same seeds and tell which differences are beyond noise

A change has to be set against the commit before, a configuration or a baseline. lab compare plays both sides in alternation on one row of seeds; Student's interval of the pairs' differences, held for all measures together (gonum's stat), says what is noise.

--- /dev/null
+++ b/cmd/sprucehill/compare.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"sprucehill/internal/lab"
+	"sprucehill/internal/lab/compare"
+	"sprucehill/internal/lab/day"
+	"sprucehill/internal/lab/live"
+	"sprucehill/internal/lab/measure"
+	"sprucehill/internal/lab/model"
+	"sprucehill/internal/lab/program"
+)
+
+// compareCmd is lab compare.
+type compareCmd struct {
+	A      string `arg:"" help:"One side: this (the work tree), commit:REV, tree:PATH, policy:NAME of a baseline (model engine), or day:FILE for another configuration."`
+	B      string `arg:"" help:"The other side."`
+	Day    string `required:"" help:"Day file that both play." type:"existingfile" predictor:"file"`
+	Plays  int    `help:"Plays on each side, each of a seed of its own." default:"10"`
+	Seed   uint64 `help:"First seed." default:"1"`
+	Engine string `help:"live or model." enum:"live,model" default:"model"`
+	Out    string `help:"Folder for logs of processes." default:"found/compare" type:"path"`
+	Expect string `help:"Exit with 1 unless the sides are the same beyond noise, or B's score is better." enum:"any,same,better" default:"any"`
+	JSON   bool   `name:"json" help:"Write the comparison as JSON."`
+}
+
+// Run carries it out.
+func (c *compareCmd) Run(ctx context.Context) error {
+	if c.Plays < 2 {
+		return fmt.Errorf("%w: --plays: %d says nothing of noise; 2 are the least", day.ErrInput, c.Plays)
+	}
+	a, endA, err := c.side(ctx, c.A)
+	defer endA()
+	if err != nil {
+		return err
+	}
+	b, endB, err := c.side(ctx, c.B)
+	defer endB()
+	if err != nil {
+		return err
+	}
+	p := newProgress(nil)
+	r, err := compare.Run(ctx, a, b, c.Seed, c.Plays, func(play int, side string, s *measure.Summary) {
+		p.say(fmt.Sprintf("play %d of %d: %s scored %.3f", play+1, c.Plays, side, s.Score))
+	})
+	p.end()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = writeJSON(r)
+	} else {
+		showComparison(os.Stdout, r, c.Day, c.Engine)
+	}
+	switch {
+	case err != nil:
+		return err
+	case c.Expect == "same" && !r.Same():
+		return fmt.Errorf("%w: the sides differ beyond noise", errClaim)
+	case c.Expect == "better" && !r.Rows[0].Better:
+		return fmt.Errorf("%w: %s scores no better than %s", errClaim, r.B, r.A)
+	}
+	return nil
+}
+
+// side makes what a side's name says. end removes what was made for it.
+func (c *compareCmd) side(ctx context.Context, name string) (s compare.Side, end func(), err error) {
+	end = func() {}
+	what, of, _ := strings.Cut(name, ":")
+	file := c.Day
+	root := "."
+	switch what {
+	case "this":
+	case "policy":
+		if c.Engine != "model" {
+			return nil, end, fmt.Errorf("%w: %s: baselines are policies of the model engine", day.ErrInput, name)
+		}
+		return &modelSide{name, file, of}, end, nil
+	case "day":
+		file = of
+	case "tree":
+		root = of
+	case "commit":
+		if root, end, err = checkout(ctx, of); err != nil {
+			return nil, end, err
+		}
+	default:
+		return nil, end, fmt.Errorf("%w: %q is no side: write this, commit:REV, tree:PATH, policy:NAME or day:FILE", day.ErrInput, name)
+	}
+	if _, err := day.LoadFile(file); err != nil {
+		return nil, end, err
+	}
+	if c.Engine == "model" {
+		if root == "." {
+			return &modelSide{name, file, ""}, end, nil
+		}
+		s, err := newCommandSide(ctx, name, root, file)
+		return s, end, err
+	}
+	p, err := program.Find(root)
+	if err != nil {
+		return nil, end, err
+	}
+	if err := p.Build(ctx); err != nil {
+		return nil, end, err
+	}
+	return &liveSide{name, file, filepath.Join(c.Out, strings.Map(plainRune, name)), p}, end, nil
+}
+
+// plainRune keeps a rune that is good in the name of a folder.
+func plainRune(r rune) rune {
+	if strings.ContainsRune("/: .", r) {
+		return '-'
+	}
+	return r
+}
+
+// checkout lays out a commit in a folder of its own.
+func checkout(ctx context.Context, rev string) (dir string, end func(), err error) {
+	end = func() {}
+	if dir, err = os.MkdirTemp("", "sprucehill-commit-"); err != nil {
+		return "", end, err
+	}
+	end = func() {
+		exec.Command("git", "worktree", "remove", "--force", dir).Run() // what fails here is told by git worktree list
+		os.RemoveAll(dir)
+	}
+	if out, err := exec.CommandContext(ctx, "git", "worktree", "add", "--detach", dir, rev).CombinedOutput(); err != nil {
+		return "", end, fmt.Errorf("%w: commit %s: %s", day.ErrInput, rev, strings.TrimSpace(string(out)))
+	}
+	return dir, end, nil
+}
+
+// modelSide plays in this process.
+type modelSide struct{ name, file, policy string }
+
+func (s *modelSide) Name() string { return s.name }
+
+func (s *modelSide) Play(ctx context.Context, seed uint64) (*measure.Summary, error) {
+	d, err := day.LoadFile(s.file)
+	if err != nil {
+		return nil, err
+	}
+	d.Seed = seed
+	r, err := lab.Model(ctx, d, model.Options{Workers: 4, Policy: s.policy})
+	if err != nil {
+		return nil, err
+	}
+	return r.Summary, nil
+}
+
+// liveSide plays with real processes of a tree.
+type liveSide struct {
+	name, file, out string
+	program         *program.Program
+}
+
+func (s *liveSide) Name() string { return s.name }
+
+func (s *liveSide) Play(ctx context.Context, seed uint64) (*measure.Summary, error) {
+	d, err := day.LoadFile(s.file)
+	if err != nil {
+		return nil, err
+	}
+	d.Seed = seed
+	r, err := lab.Live(ctx, d, live.Options{Command: s.program.Command(), Dir: s.program.Root, Work: s.out})
+	if err != nil {
+		return nil, err
+	}
+	return r.Summary, nil
+}
+
+// commandSide plays the model with the command of another tree, and so with its module.
+type commandSide struct{ name, file, command string }
+
+func newCommandSide(ctx context.Context, name, root, file string) (*commandSide, error) {
+	command := filepath.Join(root, "bin", "lab-of-side")
+	build := exec.CommandContext(ctx, "go", "build", "-o", command, "./cmd/sprucehill")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		return nil, fmt.Errorf("%w: %s has no model engine that builds: %s", day.ErrInput, name, strings.TrimSpace(string(out)))
+	}
+	return &commandSide{name, file, command}, nil
+}
+
+func (s *commandSide) Name() string { return s.name }
+
+func (s *commandSide) Play(ctx context.Context, seed uint64) (*measure.Summary, error) {
+	var out, problems bytes.Buffer
+	cmd := exec.CommandContext(ctx, s.command, "lab", "run", s.file, "--engine", "model", "--json", "--seed", fmt.Sprint(seed),
+		"--out", filepath.Join(filepath.Dir(s.command), "lab"))
+	cmd.Stdout, cmd.Stderr = &out, &problems
+	var ended *exec.ExitError
+	if err := cmd.Run(); err != nil && (!errors.As(err, &ended) || ended.ExitCode() != exitClaim) { // a broken rule is a figure here
+		return nil, fmt.Errorf("%w: %s", err, strings.TrimSpace(problems.String()))
+	}
+	var sum measure.Summary
+	if err := json.Unmarshal(out.Bytes(), &sum); err != nil {
+		return nil, fmt.Errorf("reading its summary: %w", err)
+	}
+	return &sum, nil
+}
+
+// showComparison writes the table of ratios.
+func showComparison(w io.Writer, r *compare.Result, file, engine string) {
+	fmt.Fprintf(w, "A %s against B %s: %s, %s engine, %d plays each, seeds %d to %d\n\n", r.A, r.B, file, engine, r.Plays,
+		r.Seeds[0], r.Seeds[len(r.Seeds)-1])
+	rows := [][]any{{"", "A", "B", "B/A", "over plays", "B-A", "beyond noise"}}
+	for _, row := range r.Rows {
+		ratio, spread, verdict := "-", "-", "no"
+		if row.Ratio != 0 {
+			ratio, spread = fmt.Sprintf("%.3f", row.Ratio), fmt.Sprintf("%.3f to %.3f", row.Low, row.High)
+		}
+		if row.Beyond {
+			if verdict = "yes, B is worse"; row.Better {
+				verdict = "yes, B is better"
+			}
+		}
+		rows = append(rows, []any{strings.TrimSpace(row.Measure + " " + row.Unit), fmt.Sprintf("%.4g", row.A), fmt.Sprintf("%.4g", row.B), ratio, spread,
+			fmt.Sprintf("%+.4g ± %.2g", row.Diff, row.Half), verdict})
+	}
+	table(w, rows...)
+}
--- a/cmd/sprucehill/main.go
+++ b/cmd/sprucehill/main.go
@@ -31,6 +31,8 @@
 		Run   runCmd   `cmd:"" help:"Play a day and report what came of it."`
 		Check checkCmd `cmd:"" help:"Tell whether a day file can be used."`
 		Show  showCmd  `cmd:"" help:"Show a day's fleet, network, load and timetable as tables."`
+
+		Compare compareCmd `cmd:"" help:"Play the same days and seeds on two sides and tell which differences are beyond noise."`
 	} `cmd:"" help:"Play days of an emulated fleet: regions, faults, clients, and a checker of the rules."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Write the completion of this command for your shell, to be put in its start file."`
--- /dev/null
+++ b/internal/lab/compare/compare.go
@@ -0,0 +1,165 @@
+// Package compare sets two sides against each other: the same days and seeds on both, in alternation, and a table of
+// ratios that says which differences are beyond noise.
+//
+// Each play gives one pair, so what a seed does to both sides falls out. A difference is beyond noise if Student's
+// interval of the mean of the pairs' differences leaves zero out, at a level that holds for all measures together
+// (Bonferroni): with ten measures each alone has one chance in 200 of being called different by accident.
+package compare
+
+import (
+	"context"
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"sprucehill/internal/lab/measure"
+)
+
+// level is the chance that any measure at all is called different though none is.
+const level = 0.05
+
+// Side plays a day, drawn by a seed.
+type Side interface {
+	Name() string
+	Play(ctx context.Context, seed uint64) (*measure.Summary, error)
+}
+
+// Measure is one figure of a day.
+type Measure struct {
+	Name string
+	Unit string
+	Of   func(*measure.Summary) float64
+	More bool // more of it is better
+}
+
+// Measures is what sides are compared by.
+var Measures = []Measure{
+	{"score", "", func(s *measure.Summary) float64 { return s.Score }, true},
+	{"worth served", "", func(s *measure.Summary) float64 { return s.Main.Served }, true},
+	{"worst 10 s", "", func(s *measure.Summary) float64 { return s.Worst }, true},
+	{"refused", "", func(s *measure.Summary) float64 { return s.Main.Share[measure.Refused.String()] }, false},
+	{"failed", "", func(s *measure.Summary) float64 { return s.Main.Share[measure.Failed.String()] }, false},
+	{"late", "", func(s *measure.Summary) float64 { return s.Main.Share[measure.Late.String()] }, false},
+	{"p50", "ms", func(s *measure.Summary) float64 { return s.Main.Latency.P50 }, false},
+	{"p99", "ms", func(s *measure.Summary) float64 { return s.Main.Latency.P99 }, false},
+	{"attempts a request", "", func(s *measure.Summary) float64 { return s.Attempts }, false},
+	{"cross-zone share", "", func(s *measure.Summary) float64 { return s.CrossZone }, false},
+	{"recovery", "s", recovery, false},
+	{"rules broken", "", func(s *measure.Summary) float64 {
+		n := 0
+		for _, of := range s.Broken {
+			n += of
+		}
+		return float64(n)
+	}, false},
+}
+
+// recovery is the time that service took to come back, over all faults that end; where it did not, the rest of the day.
+func recovery(s *measure.Summary) float64 {
+	var sum float64
+	for _, r := range s.Recoveries {
+		switch {
+		case r.Back != nil:
+			sum += *r.Back
+		case r.End >= 0:
+			sum += max(0, s.Seconds-r.End)
+		}
+	}
+	return sum
+}
+
+// Row is one measure on both sides.
+type Row struct {
+	Measure   string
+	Unit      string
+	A, B      float64 // means
+	Ratio     float64 // of B's mean to A's; 0: A's is 0
+	Low, High float64 // least and greatest ratio of one play
+	Diff      float64 // mean of B less A
+	Half      float64 // half of the interval of Diff
+	Beyond    bool    // noise
+	Better    bool    // B, if Beyond
+}
+
+// Result is a whole comparison.
+type Result struct {
+	A, B  string
+	Plays int
+	Seeds []uint64
+	Rows  []Row
+}
+
+// Same tells whether no measure differs beyond noise.
+func (r *Result) Same() bool {
+	for _, row := range r.Rows {
+		if row.Beyond {
+			return false
+		}
+	}
+	return true
+}
+
+// Run plays both sides in alternation; which goes first changes with every play. note is told of each play.
+func Run(ctx context.Context, a, b Side, seed uint64, plays int, note func(play int, side string, s *measure.Summary)) (*Result, error) {
+	r := &Result{A: a.Name(), B: b.Name(), Plays: plays}
+	var as, bs []*measure.Summary
+	for i := range plays {
+		s := seed + uint64(i)
+		r.Seeds = append(r.Seeds, s)
+		var pair [2]*measure.Summary
+		for k := range 2 {
+			which := (i + k) % 2
+			side := [2]Side{a, b}[which]
+			sum, err := side.Play(ctx, s)
+			if err != nil {
+				return nil, fmt.Errorf("%s, seed %d: %w", side.Name(), s, err)
+			}
+			if note(i, side.Name(), sum); sum.Lab != nil && sum.Lab.Void != "" {
+				return nil, fmt.Errorf("%s, seed %d: void: %s", side.Name(), s, sum.Lab.Void)
+			}
+			pair[which] = sum
+		}
+		as, bs = append(as, pair[0]), append(bs, pair[1])
+	}
+	for _, m := range Measures {
+		r.Rows = append(r.Rows, row(m, as, bs))
+	}
+	return r, nil
+}
+
+// row compares one measure.
+func row(m Measure, as, bs []*measure.Summary) Row {
+	r := Row{Measure: m.Name, Unit: m.Unit, Low: math.Inf(1), High: math.Inf(-1)}
+	var a, b, diffs []float64
+	for i := range as {
+		x, y := m.Of(as[i]), m.Of(bs[i])
+		a, b, diffs = append(a, x), append(b, y), append(diffs, y-x)
+		if x != 0 {
+			r.Low, r.High = min(r.Low, y/x), max(r.High, y/x)
+		}
+	}
+	r.A, r.B = stat.Mean(a, nil), stat.Mean(b, nil)
+	if r.A != 0 {
+		r.Ratio = r.B / r.A
+	}
+	if math.IsInf(r.Low, 1) {
+		r.Low, r.High = 0, 0
+	}
+	r.Diff, r.Half = interval(diffs, level/float64(len(Measures)))
+	r.Beyond = math.Abs(r.Diff) > r.Half
+	r.Better = r.Beyond && (r.Diff > 0) == m.More
+	return r
+}
+
+// interval is the mean of some figures and half of Student's interval about it, which holds the true mean but for a
+// chance of alpha. One figure has no interval.
+func interval(xs []float64, alpha float64) (mean, half float64) {
+	if len(xs) < 2 {
+		return stat.Mean(xs, nil), math.Inf(1)
+	}
+	mean, dev := stat.MeanStdDev(xs, nil)
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(xs) - 1)}.Quantile(1 - alpha/2)
+	return mean, t * dev / math.Sqrt(float64(len(xs)))
+}
