Judge two attempts at once by when the first ended, and end what met a dead upstream

The rule itself looked only 50 ms back, so a copy sent later was never seen. The lab now notes that end, and the checker asks until when the first attempt was out, as its upstream saw it.

--- a/internal/lab/bad/main.go
+++ b/internal/lab/bad/main.go
@@ -190,6 +190,9 @@
 	case b.mode == "inventor" && n%20 == 0:
 		b.send(ctx, r, body, "00000000000000aa", 0)
 	}
+	if b.mode == "copier" && r.Method == http.MethodGet && n%5 == 0 {
+		go b.send(ctx, r, body, r.Header.Get("X-Request-Id"), 1)
+	}
 	status, answer := b.send(ctx, r, body, r.Header.Get("X-Request-Id"), 0)
 	if b.mode == "repeater" && r.Method == http.MethodPost && n%5 == 0 {
 		b.send(ctx, r, body, r.Header.Get("X-Request-Id"), 1)
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -194,12 +194,15 @@
 // effects holds the second rule against one request.
 func (c *checker) effects(trace []history.Event) {
 	var earlier []history.Event // attempts that an upstream took
-	ended := map[int32]bool{}
+	ends := map[int32]time.Duration{}
+	for _, e := range trace {
+		if e.Kind == history.Replied || e.Kind == history.Abandoned {
+			ends[e.Serial] = e.At
+		}
+	}
 	attempts := 0
 	for _, e := range trace {
 		switch e.Kind {
-		case history.Replied, history.Abandoned:
-			ended[e.Serial] = true
 		case history.Answered:
 			class := c.class(e)
 			if e.Result == client.Refused && len(earlier) > 0 && (class.Repeat == "unsafe" || (class.Repeat == "keyed" && class.Group != "all")) {
@@ -209,7 +212,7 @@
 			if attempts++; attempts > c.day.Balancer.MaxAttempts {
 				c.add(OneEffect, e.At, fmt.Sprintf("%d attempts; %d are allowed", attempts, c.day.Balancer.MaxAttempts), trace)
 			}
-			if why := c.repeats(earlier, e, ended); why != "" {
+			if why := c.repeats(earlier, e, ends); why != "" {
 				c.add(OneEffect, e.At, why, trace)
 			}
 			if e.Kind == history.Arrived {
@@ -220,7 +223,7 @@
 }
 
 // repeats tells why e must not follow earlier attempts that may have run; "": it may.
-func (c *checker) repeats(earlier []history.Event, e history.Event, ended map[int32]bool) string {
+func (c *checker) repeats(earlier []history.Event, e history.Event, ends map[int32]time.Duration) string {
 	class, u := c.class(e), c.fleet.Upstreams[e.Upstream]
 	for _, a := range earlier {
 		v := c.fleet.Upstreams[a.Upstream]
@@ -233,13 +236,26 @@
 			return "sent again to another cell, which does not know its key"
 		case class.Repeat == "keyed" && e.At-a.At > class.Memory.D()+slack:
 			return "sent again after its key was forgotten"
-		case !c.day.Balancer.SecondCopies && !ended[a.Serial] && e.At-a.At < slack:
+		case !c.day.Balancer.SecondCopies && c.out(a, ends) > e.At+slack+c.delay(a):
 			return "two attempts are out at once"
 		}
 	}
 	return ""
 }
 
+// out is until when an attempt was out: its end as its upstream saw it, or the end of that, or of the day.
+func (c *checker) out(a history.Event, ends map[int32]time.Duration) time.Duration {
+	if at, ok := ends[a.Serial]; ok {
+		return at
+	}
+	for _, e := range c.upstream[a.Upstream] {
+		if e.At >= a.At && (e.Kind == history.Died || e.Kind == history.Toppled) {
+			return e.At
+		}
+	}
+	return c.day.Length.D() + Grace
+}
+
 // drains holds the third rule against the attempts of one request.
 func (c *checker) drains(trace []history.Event) {
 	for _, e := range trace {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -37,6 +37,7 @@
 aim = "1s"
 deadline = "2s"
 work = ["30ms", "60ms"]
+wait = ["100ms", "100ms"]
 [[class]]
 name = "buy"
 repeat = "unsafe"
@@ -109,6 +110,7 @@
 	}{
 		{"good", ""}, {"twice", check.OneAnswer}, {"hasty", check.OneAnswer}, {"silent", check.OneAnswer},
 		{"forger", check.OneAnswer}, {"repeater", check.OneEffect}, {"inventor", check.OneEffect},
+		{"copier", check.OneEffect},
 		{"drained", check.Drained}, {"deaf", check.Drained}, {"flood", check.ColdStart}, {"hungry", check.Limits}, {"crasher", check.NoCrash},
 		{"orphan", check.NoLeftover}, {"olivearch", ""},
 	} {
--- a/internal/lab/live/upstream.go
+++ b/internal/lab/live/upstream.go
@@ -263,6 +263,7 @@
 	defer u.mu.Unlock()
 	if u.core == nil { // it has died meanwhile
 		u.run.note(u.arrived(x, history.Arrived))
+		u.run.note(x.event(u, history.Abandoned))
 		c.Reset()
 		return x
 	}
