--- a/cmd/sprucehill/main.go
+++ b/cmd/sprucehill/main.go
@@ -33,6 +33,7 @@
 		Show  showCmd  `cmd:"" help:"Show a day's fleet, network, load and timetable as tables."`
 
 		Compare compareCmd `cmd:"" help:"Play the same days and seeds on two sides and tell which differences are beyond noise."`
+		Scale   scaleCmd   `cmd:"" help:"Model a day on fleets of several sizes and plot what each costs."`
 	} `cmd:"" help:"Play days of an emulated fleet: regions, faults, clients, and a checker of the rules."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Write the completion of this command for your shell, to be put in its start file."`
--- a/cmd/sprucehill/main_test.go
+++ b/cmd/sprucehill/main_test.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// A day that needs more descriptors than this process may have is refused before anything starts.
+func TestTooFewDescriptors(t *testing.T) {
+	cmd := exec.Command("/bin/sh", "-c", "ulimit -n 300 && exec "+command+" lab run "+example(t, "quickstart.toml")+" --program "+tree(t, "exec "+balancer)+" --out "+t.TempDir())
+	out, err := cmd.CombinedOutput()
+	if err == nil || cmd.ProcessState.ExitCode() != exitInput || !strings.Contains(string(out), "descriptors and this process may have 300") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
+
 // A summary as JSON is the whole summary.
 func TestJSON(t *testing.T) {
 	out, _, code := call(t, "lab", "run", example(t, "quickstart.toml"), "--engine", "model", "--json")
