Prefer a balancer's own zone, then its region, while their use is not over the fleet's

Picks did not look at zones: on a fleet with four, three attempts of four crossed one. Shares stay what bands make them; a tilt on them lets the part stay home that readings say it can bear, moved by small steps since reports lag and all of a zone's balancers see the same ones. Subsets are taken by zone. A region is what stands before the slash of a zone's name.

--- a/balancer.go
+++ b/balancer.go
@@ -268,7 +268,8 @@
 			b.shrink(u, now, boundCut)
 		} else if u.bound < b.start { // it has had its rest
 			u.bound = b.start
-		} else if !u.busy() && now-b.tightAt < time.Duration(b.lat) {
+		} else if short := now-b.tightAt < time.Duration(b.lat); !u.busy() &&
+			(short || (now-u.missedAt < time.Duration(b.lat) && u.mean < levelFloor && u.bound < u.needs())) {
 			u.bound = max(u.bound, min(u.bound+boundGrowth, u.most))
 		}
 	case Full:
@@ -362,7 +363,7 @@
 		b.integrate(u, now)
 		u.work, u.carried = u.work+smoothing*(u.carried-u.work), 0
 		if u.member && !u.cold && !u.silent && u.work > 0 {
-			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight
+			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight*u.zone.tilt
 		}
 	}
 	b.carry = cmp.Or(work/max(size, math.SmallestNonzeroFloat32), b.carry) // with nobody to judge by, as before
@@ -385,11 +386,13 @@
 		return gone
 	})
 	b.gather(now)
+	b.lean(now)
+	b.returning()
 }
 
 // share is u's part of the traffic, not scaled.
 func (b *Balancer) share(u *upstream, now time.Duration) float64 {
-	return u.weight * u.factor * b.ramp(u, now)
+	return u.weight * u.factor * b.ramp(u, now) * u.zone.tilt * u.zone.back
 }
 
 // --- Eligibility ---
@@ -416,7 +419,10 @@
 	if b.carry == 0 { // no warm upstream to judge by: one at a time
 		return len(u.outs) == 0
 	}
-	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * b.carry / bandPeriod.Seconds()
+	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * u.zone.tilt * b.carry / bandPeriod.Seconds()
+	if b.stay > 0 {
+		rate *= leanCold
+	}
 	u.spent, u.spentAt = max(0, u.spent-rate/2*(now-u.spentAt).Seconds()), now
 	return u.spent <= max(0, rate/2*b.s.Rules.TipAfter.Seconds()-max(1, r.units))
 }
@@ -475,6 +481,9 @@
 // eligible reports whether u may take r at this turn. The bound is a guard: shares decide below it.
 func (b *Balancer) eligible(u *upstream, r *request, now time.Duration) bool {
 	ok := now >= u.freeAt && now >= u.backAt && float64(len(u.outs)) < max(1, math.Floor(u.bound))
+	if u.zone.left {
+		return false
+	}
 	if u.silent { // the safest class goes first as a trial
 		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
 	}
@@ -498,6 +507,7 @@
 		}
 	}
 	if best != nil {
+		b.missed(best, now)
 		b.turn = max(b.turn, best.due)
 		length := total / b.share(best, now)
 		best.due = max(best.due, b.turn-debtRounds*length) + length
@@ -554,6 +564,9 @@
 		}
 	}
 	b.gather(now)
+	if b.stay == 0 { // not begun
+		b.lean(now)
+	}
 	b.dispatch(now)
 }
 
@@ -573,7 +586,7 @@
 			b.chill(u, e.StartedAt)
 		}
 	}
-	u.Upstream = e
+	u.Upstream, u.zone = e, b.zoneOf(e.Zone)
 	if b.s.Weights == WeightLive { // late and the same for all: only its slow mean is safe to follow
 		e.Weight = u.weight + smoothing*(e.Weight-u.weight)
 	}
@@ -592,9 +605,11 @@
 	b.start = boundStart * max(n, 1) / want / all
 	_, at := math.Modf(float64(b.s.Rank) * math.Phi)
 	good, chosen := 0.0, map[*upstream]bool{}
-	for i := 0; i < min(len(ring), int(2*want)) && good < want; i++ {
-		u := ring[(int(at*n)+i)%len(ring)]
-		if chosen[u] = true; !u.cold && !u.silent {
+	for i, u := range b.homeFirst(ring, at, want) {
+		if i >= int(2*want) || good >= want {
+			break
+		}
+		if chosen[u] = true; !u.cold && !u.silent && !u.zone.left {
 			good++
 		}
 	}
--- a/host_test.go
+++ b/host_test.go
@@ -69,3 +69,11 @@
 	}
 	return list
 }
+
+// oneZone puts upstreams into the zone of settings, where shares alone decide.
+func oneZone(list []Upstream) []Upstream {
+	for i := range list {
+		list[i].Zone = "near"
+	}
+	return list
+}
--- a/internal/lab/day/fleet.go
+++ b/internal/lab/day/fleet.go
@@ -110,6 +110,15 @@
 	}
 }
 
+// Locality is a zone's name as discovery and the settings have it: with its region before it where there are several.
+func (f *Fleet) Locality(zone int) string {
+	z := f.Zones[zone]
+	if len(f.Regions) < 2 {
+		return z.Name
+	}
+	return f.Regions[z.Region] + "/" + z.Name
+}
+
 // Name is a party's name for people.
 func (f *Fleet) Name(p Party) string {
 	switch p.Kind {
--- a/internal/lab/live/registry.go
+++ b/internal/lab/live/registry.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		up := f.Upstreams[u]
-		m := member{ID: up.ID, HostPort: g.run.upstreamAt(b, u), Locality: f.Zones[up.Zone].Name, Flavor: up.Model,
+		m := member{ID: up.ID, HostPort: g.run.upstreamAt(b, u), Locality: f.Locality(up.Zone), Flavor: up.Model,
 			Cell: up.Zone*1000 + up.Cell, Phase: e.phase, Size: up.Size}
 		if !e.upSince.IsZero() {
 			m.UpSinceMS = e.upSince.Add(-g.offsets[b]).UnixMilli()
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -122,7 +122,7 @@
 	n := &node{actor: a, index: index, newCore: policy, settings: settings, maxConns: d.Balancer.Sockets * 3 / 8,
 		idleFor: max(links.KeepAlive-spareIdle, links.KeepAlive/2), connect: links.ConnectTimeout}
 	for i, u := range a.sim.fleet.Upstreams {
-		n.listed = append(n.listed, sprucehill.Upstream{ID: sprucehill.UpstreamID(i), Zone: a.sim.fleet.Zones[u.Zone].Name,
+		n.listed = append(n.listed, sprucehill.Upstream{ID: sprucehill.UpstreamID(i), Zone: a.sim.fleet.Locality(u.Zone),
 			Cell: u.Zone*1000 + u.Cell, Weight: u.Size})
 	}
 	return n, n.start()
--- a/state.go
+++ b/state.go
@@ -48,12 +48,14 @@
 // upstream is what this balancer knows of one server.
 type upstream struct {
 	Upstream
+	zone                        *zone
 	cold, silent                bool
 	member                      bool   // in the subset
 	place                       uint64 // on the ring of all upstreams
 	coldAt, trialAt             time.Duration
 	answeredAt, cutAt, probedAt time.Duration
 	freeAt, backAt              time.Duration // its turns are skipped until then: it rests; it could not be reached
+	missedAt                    time.Duration // last time that a turn of home went out for its bound
 	wait                        time.Duration // growing wait between trials or failed connects
 	due                         float64       // its next turn, in turns of the whole fleet
 	weight, factor              float64       // size; share left after cuts
@@ -80,6 +82,8 @@
 	requests                map[RequestID]*request
 	byID                    map[UpstreamID]*upstream
 	ups                     []*upstream // in order of arrival
+	zones                   []*zone     // in order of arrival
+	stay, keep              float64     // parts of the traffic that stay in the zone, and in the region; 0: not begun
 	near                    []*upstream // the subset, and what left it with attempts still out
 	held                    []*request  // by worth, then newest first
 	turn                    float64     // virtual time of the interleave
--- /dev/null
+++ b/zones.go
@@ -0,0 +1,309 @@
+package sprucehill
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Locality: what a zone is to this balancer, and how much of its traffic goes there. Shares stay what bands make them;
+// a tilt on them prefers the balancer's own zone, then its region, for as long as their use is not over the fleet's, and
+// lets traffic out by degrees as it is. Where home can take no more at all, picks find what is eligible elsewhere.
+//
+// A zone's region is what stands before the slash of its name; without one, all zones are of one region.
+
+// Constants of locality. Those without a unit are ratios.
+const (
+	homeMost   = 0.92 // of the traffic stays home at most: with less than the rest, readings from elsewhere grow old
+	homeMargin = 1.05 // use of home, and of the region, over the fleet's that is still no reason to leave,
+	homeNoise  = 0.02 // and this much more, of full use
+	homeUse    = 0.7  // use over which staying is no aim any more
+	homeGain   = 0.5  // a period's move for an excess of full use: reports lag by a period or two
+	homeStep   = 0.05 // the greatest move in a period
+	homeLeast  = 1e-3 // the least that a share elsewhere counts for: none may be forgotten
+	returnStep = 0.25 // of its share that a zone gains at once as it returns
+	returnHold = 3    // periods that a step is held at least: reports of the one before have come by then
+	leanCold   = 0.8  // of the cold budget: what leans to a zone does so at all its balancers at once
+)
+
+// zone is what this balancer knows of the upstreams of one zone together.
+type zone struct {
+	name, region string
+	listed       int     // upstreams
+	tilt         float64 // what a share counts for here; 1 everywhere: no locality
+	size, use    float64 // of those that take requests: shares without the tilt; mean use by their readings
+	read         float64 // size of those that have readings
+	left         bool    // by the operators: it gets nothing new
+	back         float64 // the part of its share that a zone has which returns; 1: all
+	held         int     // periods since its last step
+}
+
+// zoneOf is the zone of a name, known from then on.
+func (b *Balancer) zoneOf(name string) *zone {
+	i := slices.IndexFunc(b.zones, func(z *zone) bool { return z.name == name })
+	if i < 0 {
+		region, _, found := strings.Cut(name, "/")
+		if !found {
+			region = ""
+		}
+		i, b.zones = len(b.zones), append(b.zones, &zone{name: name, region: region, tilt: 1, back: 1})
+	}
+	return b.zones[i]
+}
+
+// survey sums up what is known of each zone, and forgets those that nobody is in any more.
+func (b *Balancer) survey(now time.Duration) {
+	for _, z := range b.zones {
+		z.listed, z.size, z.use, z.read = 0, 0, 0, 0
+	}
+	for _, u := range b.ups {
+		u.zone.listed++
+	}
+	b.zones = slices.DeleteFunc(b.zones, func(z *zone) bool { return z.listed == 0 && z.name != b.s.Zone && !z.left })
+	for _, u := range b.near {
+		if !u.member || u.silent || u.zone.left {
+			continue
+		}
+		size := b.share(u, now) / u.zone.tilt
+		u.zone.size += size
+		if u.readings > 0 && !u.cold {
+			u.zone.use, u.zone.read = u.zone.use+u.mean*size, u.zone.read+size
+		}
+	}
+}
+
+// within is the size and the mean use of the zones that some function keeps; no use without readings.
+func (b *Balancer) within(keep func(*zone) bool) (size, use float64, read bool) {
+	var sum float64
+	for _, z := range b.zones {
+		if keep(z) {
+			size, use, sum = size+z.size, use+z.use, sum+z.read
+		}
+	}
+	if sum == 0 {
+		return size, 0, false
+	}
+	return size, use / sum, true
+}
+
+// lean moves how much of the traffic stays home and in its region, by how use there is to use elsewhere, and tilts
+// shares so that it does. All that a zone's balancers know alike and late moves them alike, so a move is small.
+func (b *Balancer) lean(now time.Duration) {
+	home := b.zoneOf(b.s.Zone)
+	b.survey(now)
+	inRegion := func(z *zone) bool { return z.region == home.region }
+	all, use, read := b.within(func(*zone) bool { return true })
+	region, regionUse, regionRead := b.within(inRegion)
+	if home.size == 0 || home.size == all { // nobody at home, or nowhere else: shares alone decide
+		for _, z := range b.zones {
+			z.tilt = 1
+		}
+		b.stay = 0
+		return
+	}
+	if b.stay == 0 { // each zone's balancers bring as much, until readings tell
+		zones := 0.0
+		for _, z := range b.zones {
+			if z.size > 0 {
+				zones++
+			}
+		}
+		b.stay, b.keep = min(homeMost, zones*home.size/all), homeMost
+	}
+	_, own, homeRead := b.within(func(z *zone) bool { return z == home })
+	if read && homeRead {
+		b.stay = moved(b.stay, own, use, home.size/all)
+	}
+	if read && regionRead {
+		b.keep = moved(b.keep, regionUse, use, region/all)
+	}
+	if region == all {
+		b.keep = 1
+	}
+	b.keep = max(b.keep, b.stay)
+	b.tilt(home, inRegion, region-home.size, all-region)
+}
+
+// moved moves the part of the traffic that stays by the use that is to spare there: up to homeMost; down to even shares
+// where that is little, since a full fleet has no turns to lose; and to half of these where use is over the fleet's.
+func moved(part, use, fleet, even float64) float64 {
+	bears, least := homeMargin*fleet+homeNoise, even
+	if use > bears {
+		least /= 2
+	}
+	step := max(-homeStep, min(homeStep, homeGain*(min(bears, homeUse)-use)))
+	return max(least, min(homeMost, part+step))
+}
+
+// needs is how many attempts are out at u at once for its own traffic, with what chance brings together. It is reckoned
+// by its best latency: what holds many because it is slow needs no more.
+func (u *upstream) needs() float64 {
+	mean := u.work / bandPeriod.Seconds() * u.calm / float64(time.Second)
+	return mean + 2*math.Sqrt(mean) + 1
+}
+
+// missed notes which upstreams of home were due before one elsewhere that gets the turn: their bounds alone sent it out,
+// and may grow as where no turn is to be had.
+func (b *Balancer) missed(best *upstream, now time.Duration) {
+	if b.stay == 0 || best.Zone == b.s.Zone {
+		return
+	}
+	for _, u := range b.near {
+		if u.member && u.Zone == b.s.Zone && u.due < best.due {
+			u.missedAt = now
+		}
+	}
+}
+
+// tilt sets what shares count for: home as they are, elsewhere so that the parts which leave come out. Of zones alike in
+// distance the less used gets more.
+func (b *Balancer) tilt(home *zone, inRegion func(*zone) bool, near, far float64) {
+	leaves, leavesRegion := 1-b.stay, 1-b.keep
+	if near == 0 { // whatever leaves goes far
+		leavesRegion = leaves
+	}
+	leaves -= leavesRegion
+	_, use, _ := b.within(func(z *zone) bool { return z != home })
+	for _, z := range b.zones {
+		part, size := leaves, near
+		if !inRegion(z) {
+			part, size = leavesRegion, far
+		}
+		if z == home {
+			z.tilt = 1
+		} else if size > 0 {
+			spare := 1.0
+			if z.read > 0 && use > 0 {
+				spare = max(0.5, min(2, (use+homeNoise)/(z.use/z.read+homeNoise)))
+			}
+			z.tilt = max(homeLeast, part/b.stay*home.size/size*spare)
+		}
+	}
+}
+
+// homeFirst orders the ring of upstreams for a balancer at a place from 0 to 1 that uses want of them: as many of its own
+// zone as make its part if every zone's balancers bring as much, then the others. It goes round the rings of home and of
+// the others each by its place, so that every upstream of a zone has about as many balancers. Without zones, or where it
+// uses all, there is one ring.
+func (b *Balancer) homeFirst(ring []*upstream, place, want float64) []*upstream {
+	var own, others []*upstream
+	zones := map[*zone]bool{}
+	for _, u := range ring {
+		if zones[u.zone] = true; u.Zone == b.s.Zone {
+			own = append(own, u)
+		} else {
+			others = append(others, u)
+		}
+	}
+	if len(own) == 0 || len(others) == 0 || int(want) >= len(ring) {
+		return turned(ring, place)
+	}
+	part := want * float64(len(own)*len(zones)) / float64(len(ring))
+	n := min(len(own), int(math.Round(max(1, min(want-1, part))))) // it has to hear of the others
+	own, others = turned(own, place), turned(others, place)
+	return slices.Concat(own[:n], others, own[n:])
+}
+
+// turned is a ring from a place on it, from 0 to 1.
+func turned(ring []*upstream, place float64) []*upstream {
+	at := int(place * float64(len(ring)))
+	return slices.Concat(ring[at:], ring[:at])
+}
+
+// --- The operators' hand ---
+
+// ZoneState is what a zone is to a balancer.
+type ZoneState uint8
+
+// The states.
+const (
+	ZoneWell      ZoneState = iota
+	ZoneLeft                // by the operators: nothing new goes there
+	ZoneReturning           // its share grows in steps
+)
+
+// ZoneStatus is what a balancer knows of a zone.
+type ZoneStatus struct {
+	Name   string
+	State  ZoneState
+	Listed int     // upstreams in the list
+	Share  float64 // of this balancer's turns
+	Use    float64 // mean of their readings; -1: none
+}
+
+// LeaveZone sends nothing new to a zone until ReturnZone, whatever discovery says meanwhile. It is refused (false) for a
+// zone that is not known, and for the last one that is left with upstreams: then nobody could be served.
+func (b *Balancer) LeaveZone(now time.Duration, name string) bool {
+	i := slices.IndexFunc(b.zones, func(z *zone) bool { return z.name == name })
+	if i < 0 || !slices.ContainsFunc(b.ups, func(u *upstream) bool {
+		return u.State == Active && !u.zone.left && u.zone != b.zones[i]
+	}) {
+		return false
+	}
+	b.zones[i].left = true
+	b.gather(now)
+	b.lean(now)
+	b.dispatch(now)
+	return true
+}
+
+// ReturnZone takes a zone back, by steps. False: it was not left.
+func (b *Balancer) ReturnZone(now time.Duration, name string) bool {
+	i := slices.IndexFunc(b.zones, func(z *zone) bool { return z.name == name && z.left })
+	if i < 0 {
+		return false
+	}
+	z := b.zones[i]
+	z.left, z.back, z.held = false, returnStep, 0
+	b.gather(now)
+	b.lean(now)
+	b.dispatch(now)
+	return true
+}
+
+// returning gives zones that come back their next step, once the last has been held and their use is not over the
+// fleet's: what that step brought has been borne.
+func (b *Balancer) returning() {
+	_, use, read := b.within(func(*zone) bool { return true })
+	for _, z := range b.zones {
+		if z.held++; z.left || z.back == 1 || z.held < returnHold {
+			continue
+		}
+		if !read || z.read == 0 || z.use/z.read <= max(homeMargin*use+homeNoise, levelFloor) {
+			z.back, z.held = min(1, z.back+returnStep), 0
+		}
+	}
+}
+
+// Zones tells of every zone that has upstreams or was left, in the order in which they were heard of.
+func (b *Balancer) Zones(now time.Duration) []ZoneStatus {
+	var all []ZoneStatus
+	shares, total := map[*zone]float64{}, 0.0
+	for _, u := range b.near {
+		if u.member && !u.zone.left {
+			s := b.share(u, now)
+			shares[u.zone], total = shares[u.zone]+s, total+s
+		}
+	}
+	b.survey(now)
+	for _, z := range b.zones {
+		x := ZoneStatus{Name: z.name, Listed: z.listed, Use: -1}
+		switch {
+		case z.left:
+			x.State = ZoneLeft
+		case z.back < 1:
+			x.State = ZoneReturning
+		}
+		if total > 0 {
+			x.Share = shares[z] / total
+		}
+		if z.read > 0 {
+			x.Use = z.use / z.read
+		}
+		if z.listed > 0 || z.left {
+			all = append(all, x)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/zones_test.go
@@ -0,0 +1,220 @@
+package sprucehill
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// sited returns upstreams, so many in each named zone.
+func sited(zones map[string]int, order ...string) []Upstream {
+	var list []Upstream
+	for _, z := range order {
+		for range zones[z] {
+			list = append(list, Upstream{ID: UpstreamID(len(list) + 1), Zone: z, Weight: 1})
+		}
+	}
+	return list
+}
+
+// periods lets n periods go by in which each upstream reads as use has it for its zone.
+func periods(b *Balancer, now time.Duration, n int, use map[string]float64) time.Duration {
+	for range n {
+		now += bandPeriod
+		for _, u := range b.ups {
+			for i := range bandWindow { // a window of like readings, each a little other than the last
+				b.read(u, Load{Fields: HasUtil | HasRate, Util: use[u.Zone], Rate: now.Seconds() + float64(i)}, true, 0, now)
+			}
+		}
+		b.step(now)
+	}
+	return now
+}
+
+// homePart sends n requests and tells which part of them went to each zone.
+func homePart(t *testing.T, b *Balancer, now time.Duration, n int) map[string]float64 {
+	t.Helper()
+	parts := map[string]float64{}
+	for i := range n {
+		u := serve(t, b, now+time.Duration(i)*ms, RequestID(1e6+int(now/ms)+i))
+		parts[u.Zone] += 1 / float64(n)
+	}
+	return parts
+}
+
+// Three picks of four once crossed a zone on a fleet with four. With use to spare most stay home, and somebody is
+// always asked elsewhere, or nothing would be known of them.
+func TestHomeFirstWhileItHasUseToSpare(t *testing.T) {
+	b, _ := start(t, settings(), sited(map[string]int{"near": 4, "b": 4, "c": 4, "d": 4}, "near", "b", "c", "d"))
+	now := periods(b, time.Hour, 30, map[string]float64{"near": 0.3, "b": 0.3, "c": 0.3, "d": 0.3})
+	if p := homePart(t, b, now, 1000)["near"]; p < 0.85 || p > 0.95 {
+		t.Errorf("%.2f of the traffic stays home", p)
+	}
+}
+
+// A home used beyond the fleet's use lets traffic out by degrees, no faster than its reports can tell of it, down to
+// half of an even part and no further; and takes it back as it cools.
+func TestFullHomeLetsTrafficOutByDegrees(t *testing.T) {
+	b, _ := start(t, settings(), sited(map[string]int{"near": 4, "b": 4}, "near", "b"))
+	hot, cool := map[string]float64{"near": 0.9, "b": 0.3}, map[string]float64{"near": 0.3, "b": 0.3}
+	now := periods(b, time.Hour, 20, cool)
+	before := b.stay
+	for range 30 {
+		now = periods(b, now, 1, hot)
+		if before-b.stay > homeStep+1e-9 {
+			t.Fatalf("from %.2f to %.2f in a period", before, b.stay)
+		}
+		before = b.stay
+	}
+	if p := homePart(t, b, now, 1000)["near"]; math.Abs(p-0.25) > 0.05 {
+		t.Errorf("%.2f of the traffic stays at a full home, an even part is 0.5", p)
+	}
+	now = periods(b, now, 30, cool)
+	if p := homePart(t, b, now, 1000)["near"]; p < 0.85 {
+		t.Errorf("only %.2f of it comes back", p)
+	}
+}
+
+// Where the whole fleet is full, no turn is lost for being elsewhere: shares alone decide.
+func TestFullFleetIsSharedEvenly(t *testing.T) {
+	b, _ := start(t, settings(), sited(map[string]int{"near": 4, "b": 4}, "near", "b"))
+	now := periods(b, time.Hour, 40, map[string]float64{"near": 0.95, "b": 0.95})
+	if p := homePart(t, b, now, 1000)["near"]; math.Abs(p-0.5) > 0.05 {
+		t.Errorf("%.2f of the traffic stays home on a full fleet", p)
+	}
+}
+
+// What leaves a zone goes to its region first; another region gets the trickle that keeps it known.
+func TestRegionComesNext(t *testing.T) {
+	s := settings()
+	s.Zone = "west/1"
+	b, _ := start(t, s, sited(map[string]int{"west/1": 3, "west/2": 3, "east/1": 6}, "west/1", "west/2", "east/1"))
+	now := periods(b, time.Hour, 30, map[string]float64{"west/1": 0.65, "west/2": 0.35, "east/1": 0.45})
+	p := homePart(t, b, now, 2000)
+	if p["west/2"] < 2*p["east/1"] || p["east/1"] == 0 || p["east/1"] > 0.12 {
+		t.Errorf("a hot zone's traffic goes %v", p)
+	}
+}
+
+// Without zones, with one, or with none of its own listed, a balancer does what shares alone say.
+func TestNoZonesAsBefore(t *testing.T) {
+	for _, c := range []struct{ own, of string }{{"", ""}, {"near", "near"}, {"elsewhere", "near"}} {
+		s := settings()
+		s.Zone = c.own
+		list := fleet(6)
+		for i := range list {
+			list[i].Zone = c.of
+		}
+		b, _ := start(t, s, list)
+		periods(b, time.Hour, 10, map[string]float64{c.of: 0.4})
+		for _, z := range b.zones {
+			if z.tilt != 1 {
+				t.Errorf("%+v: zone %q has a tilt of %v", c, z.name, z.tilt)
+			}
+		}
+	}
+}
+
+// Whatever readings say, the parts keep their bounds, every tilt is a figure over 0, and zones that nobody is in any more
+// are forgotten.
+func TestTiltsStayWithinBounds(t *testing.T) {
+	names := []string{"near", "b", "x/c", "x/d", "y/e"}
+	rapid.Check(t, func(rt *rapid.T) {
+		s := settings()
+		s.Zone = rapid.SampledFrom(names).Draw(rt, "own")
+		b, _ := start(t, s, nil)
+		now := time.Hour
+		for range rapid.IntRange(1, 20).Draw(rt, "events") {
+			count, use := map[string]int{}, map[string]float64{}
+			for _, z := range names {
+				count[z] = rapid.IntRange(0, 4).Draw(rt, "upstreams of "+z)
+				use[z] = rapid.Float64Range(0, 1).Draw(rt, "use of "+z)
+			}
+			list := sited(count, names...)
+			for i := range list { // zones are renamed and upstreams move between them
+				list[i].Weight = rapid.Float64Range(0.1, 10).Draw(rt, "weight")
+			}
+			b.Members(now, ListFull, list)
+			now = periods(b, now, rapid.IntRange(1, 4).Draw(rt, "periods"), use)
+			listed := map[string]bool{s.Zone: true}
+			for _, u := range b.ups {
+				listed[u.Zone] = true
+			}
+			for _, z := range b.zones {
+				if !(z.tilt > 0) || math.IsInf(z.tilt, 1) {
+					rt.Fatalf("zone %s has a tilt of %v", z.name, z.tilt)
+				}
+				if !listed[z.name] {
+					rt.Fatalf("zone %s is kept though nobody is in it", z.name)
+				}
+			}
+			if b.stay < 0 || b.stay > 1 || (b.stay > 0 && b.keep < b.stay) {
+				rt.Fatalf("stay %v, keep %v", b.stay, b.keep)
+			}
+		}
+	})
+}
+
+// A zone left by hand gets nothing until it is returned, whatever discovery and readings do, and then each step of its
+// share in order, each held for its periods; at any time some zone that is not left has upstreams.
+func TestHandLeftZoneComesBackStepByStep(t *testing.T) {
+	names := []string{"near", "b", "c"}
+	rapid.Check(t, func(rt *rapid.T) {
+		b, h := start(t, settings(), sited(map[string]int{"near": 2, "b": 2, "c": 2}, names...))
+		now, id := time.Hour, RequestID(1)
+		back := map[string]float64{"near": 1, "b": 1, "c": 1}
+		left, held := map[string]bool{}, map[string]int{}
+		for range rapid.IntRange(1, 40).Draw(rt, "events") {
+			name := rapid.SampledFrom(names).Draw(rt, "zone")
+			switch rapid.IntRange(0, 4).Draw(rt, "event") {
+			case 0:
+				done := b.LeaveZone(now, name)
+				others := 0
+				for _, z := range names {
+					if z != name && !left[z] {
+						others++
+					}
+				}
+				if done != (others > 0) {
+					rt.Fatalf("leaving %s with %d others: %v", name, others, done)
+				}
+				left[name] = left[name] || done
+			case 1:
+				if done := b.ReturnZone(now, name); done != left[name] {
+					rt.Fatalf("returning %s, left %v: %v", name, left[name], done)
+				} else if done {
+					left[name], back[name], held[name] = false, 0, 0
+				}
+			case 2:
+				b.Members(now, ListFull, sited(map[string]int{"near": 2, "b": 2, "c": 2}, names...))
+			case 3:
+				use := map[string]float64{}
+				for _, z := range names {
+					use[z] = rapid.Float64Range(0, 1).Draw(rt, "use of "+z)
+					held[z]++
+				}
+				now = periods(b, now, 1, use)
+			case 4:
+				from := len(h.lines)
+				u := serve(t, b, now, id)
+				if id++; left[u.Zone] {
+					rt.Fatalf("%s was left and got %s", u.Zone, h.lines[from:])
+				}
+			}
+			now += 50 * ms
+			for _, z := range b.zones {
+				switch step := z.back - back[z.name]; {
+				case left[z.name]:
+				case step > returnStep+1e-9:
+					rt.Fatalf("%s went from %v to %v of its share at once", z.name, back[z.name], z.back)
+				case step > 0 && back[z.name] > 0 && held[z.name] < returnHold:
+					rt.Fatalf("%s went on after %d periods", z.name, held[z.name])
+				case step > 0:
+					back[z.name], held[z.name] = z.back, 0
+				}
+			}
+		}
+	})
+}
