Let operators leave a zone by hand and take it back by steps

On-call had no way to keep traffic out of a data centre that is about to be worked on. zone-leave, zone-return and zone-status stand beside the calls that exist, in the same form. A zone left gets nothing, whatever discovery tells; the last one with upstreams can't be left. The loop answers these calls within 0.7 s or they say that it is busy.

--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -37,6 +37,10 @@
 	WriteFigures(w io.Writer) error
 	// Drain begins to empty the balancer, or ends that; state says what it does from now on. Repeating it is harmless.
 	Drain(on bool) (done bool, state string)
+	// Zone sends nothing new to a zone, or takes it back by steps; state says what it is from now on, or why not.
+	Zone(name string, leave bool) (done bool, state string)
+	// WriteZones writes what each zone is to the balancer, one to a line.
+	WriteZones(w io.Writer) error
 }
 
 // server answers the callers of one listener.
@@ -135,15 +139,26 @@
 
 // answer carries a call out.
 func (s *server) answer(call string) string {
+	call, zone, named := strings.Cut(call, " ")
+	if orders := map[string]bool{"zone-leave": true, "zone-return": true}; orders[call] != (named && zone != "") {
+		if orders[call] {
+			return "NO " + call + " wants the name of a zone\n"
+		}
+		return calls
+	}
 	switch call {
 	case "check":
 		return verdict(s.balancer.Ready())
 	case "vars":
-		var b strings.Builder
-		if err := s.balancer.WriteFigures(&b); err != nil {
-			return "NO " + err.Error() + "\n"
-		}
-		return b.String() + "END\n"
+		return listed(s.balancer.WriteFigures)
+	case "zone-status":
+		return listed(s.balancer.WriteZones)
+	case "zone-leave":
+		slog.Info("operators leave a zone", "zone", zone)
+		return verdict(s.balancer.Zone(zone, true))
+	case "zone-return":
+		slog.Info("operators return a zone", "zone", zone)
+		return verdict(s.balancer.Zone(zone, false))
 	case "drain-on":
 		slog.Info("operators drain the balancer")
 		return verdict(s.balancer.Drain(true))
@@ -151,7 +166,19 @@
 		slog.Info("operators end the drain")
 		return verdict(s.balancer.Drain(false))
 	}
-	return "NO the calls are check, vars, drain-on and drain-off\n"
+	return calls
+}
+
+// calls is the answer to whatever is none of them.
+const calls = "NO the calls are check, vars, drain-on, drain-off, zone-status, zone-leave Z and zone-return Z\n"
+
+// listed is an answer of several lines, with an END behind them.
+func listed(write func(io.Writer) error) string {
+	var b strings.Builder
+	if err := write(&b); err != nil {
+		return "NO " + err.Error() + "\n"
+	}
+	return b.String() + "END\n"
 }
 
 func verdict(yes bool, state string) string {
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -36,6 +36,18 @@
 	return err
 }
 
+func (f *fake) Zone(name string, leave bool) (bool, string) {
+	if name != "dc-a" {
+		return false, "it is not known"
+	}
+	return true, map[bool]string{true: "left", false: "returning"}[leave]
+}
+
+func (f *fake) WriteZones(w io.Writer) error {
+	_, err := io.WriteString(w, "zone \"dc-a\" well\n")
+	return err
+}
+
 // serve answers calls for a balancer until the test ends.
 func serve(t *testing.T, b Balancer) string {
 	t.Helper()
@@ -90,6 +102,12 @@
 		{"drain-on\n", "YES noted\n"},
 		{"drain-off\n", "YES noted\n"},
 		{"check\ncheck\n" + strings.Repeat("more\n", 1000), "YES serving\n"}, // one line to a connection
+		{"zone-leave dc-a\n", "YES left\n"},
+		{"zone-return dc-a\r\n", "YES returning\n"},
+		{"zone-leave dc-x\n", "NO it is not known\n"},
+		{"zone-leave\n", "NO zone-leave wants the name of a zone\n"},
+		{"zone-leave \n", "NO zone-leave wants the name of a zone\n"},
+		{"zone-status dc-a\n", "NO the calls are "},
 		{"\n", "NO "},
 		{"CHECK\n", "NO "},
 		{"check now\n", "NO "},
@@ -106,6 +124,9 @@
 	if got, want := call(t, addr, "vars\n"), "svc_a 1\nsvc_b 2\nEND\n"; got != want {
 		t.Errorf("vars: got %q, want %q", got, want)
 	}
+	if got, want := call(t, addr, "zone-status\n"), "zone \"dc-a\" well\nEND\n"; got != want {
+		t.Errorf("zone-status: got %q, want %q", got, want)
+	}
 	if got := b.drains; len(got) != 3 || !got[0] || !got[1] || got[2] {
 		t.Errorf("drains asked for: %v", got)
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -486,6 +486,17 @@
 	}
 }
 
+// order is something that the operators want of the module; done is closed when it has been done.
+type order struct {
+	do   func(l *loop)
+	done chan struct{}
+}
+
+func (e order) apply(l *loop) {
+	defer close(e.done)
+	e.do(l)
+}
+
 // moved tells the address at which discovery is from now on.
 type moved string
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
+	"time"
+
+	"sprucehill"
 )
 
 // Proxy is one balancer with its clients, upstreams and discovery.
@@ -69,5 +74,62 @@
 	return true, state
 }
 
+// operatorWait bounds an operators' call that the loop answers: one is owed in 1 s.
+const operatorWait = 700 * time.Millisecond
+
+// errBusy says that the loop has not come to a call in time. What was ordered may still be done.
+var errBusy = errors.New("the balancer is too busy to answer")
+
+// ask has the loop do something with the module, and waits for that.
+func (p *Proxy) ask(do func(l *loop)) error {
+	asked := order{do, make(chan struct{})}
+	limit := time.NewTimer(operatorWait)
+	defer limit.Stop()
+	select {
+	case p.loop.events <- asked:
+	case <-limit.C:
+		return errBusy
+	}
+	select {
+	case <-asked.done:
+		return nil
+	case <-limit.C:
+		return errBusy
+	}
+}
+
+// Zone sends nothing new to a zone, or takes it back by steps.
+func (p *Proxy) Zone(name string, leave bool) (done bool, state string) {
+	change, state, why := (*sprucehill.Balancer).ReturnZone, "returning", "it was not left"
+	if leave {
+		change, state, why = (*sprucehill.Balancer).LeaveZone, "left", "it is not known, or the last that is not left"
+	}
+	ok := false // the loop's own until it has answered
+	if err := p.ask(func(l *loop) { ok = change(l.balancer, l.now(), name) }); err != nil {
+		return false, err.Error()
+	}
+	if !ok {
+		return false, why
+	}
+	return true, state
+}
+
+var zoneStates = map[sprucehill.ZoneState]string{sprucehill.ZoneWell: "well", sprucehill.ZoneLeft: "left",
+	sprucehill.ZoneReturning: "returning"}
+
+// WriteZones writes what each zone is to the balancer, one to a line.
+func (p *Proxy) WriteZones(w io.Writer) error {
+	var all []sprucehill.ZoneStatus
+	if err := p.ask(func(l *loop) { all = l.balancer.Zones(l.now()) }); err != nil {
+		return err
+	}
+	for _, z := range all {
+		if _, err := fmt.Fprintf(w, "zone %q %s listed %d share %.3f use %.3f\n", z.Name, zoneStates[z.State], z.Listed, z.Share, z.Use); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // WriteFigures writes what the balancer reports, one figure to a line.
 func (p *Proxy) WriteFigures(w io.Writer) error { return p.loop.figures.set.Write(w) }
