Leave a zone whose upstreams give no good answers, and take it back by steps

A zone that answered everything at once with an error drew traffic without end, since errors feed no band; one that fell silent was left upstream by upstream. A zone is now judged by its upstreams' silences, failed connects, breaks and errors against the rest at that moment: half sick, half of its share; three quarters, trials only, where the others can bear it. Three good answers in a row bring it back by quarters of its share, each held until it is quiet, longer after setbacks. Where all are sick alike nobody is left: the fault may be the balancer's own link. A cold upstream's part is now reckoned for zones as they count at that moment: the module's random test broke rule 4 where a zone's part rose between two periods.

--- a/balancer.go
+++ b/balancer.go
@@ -154,14 +154,18 @@
 
 func (b *Balancer) send(r *request, u *upstream, now time.Duration) {
 	timeout := time.Duration(0) // until the client quits: work half done is worth more than work begun anew
-	if u.silent {
+	a := &attempt{r: r, up: u, sentAt: now, writing: r.Upload}
+	if u.zone.failed {
+		if u.zone.try(a, bandPeriod); r.class.Repeat != Unsafe && !r.Upload {
+			timeout = b.patience(u, r.units)
+		}
+	} else if u.silent {
 		u.trialAt = now + u.wait
 		u.wait *= waitGrowth
 		if r.class.Repeat != Unsafe && !r.Upload { // a trial leaves time for another attempt
 			timeout = b.patience(u, r.units)
 		}
 	}
-	a := &attempt{r: r, up: u, sentAt: now, writing: r.Upload}
 	r.attempts, r.out, r.held = append(r.attempts, a), r.out+1, false
 	u.outs, u.carried, u.spent = append(u.outs, a), u.carried+r.units, u.spent+max(1, r.units)
 	b.host.Send(r.ID, u.ID, timeout)
@@ -246,6 +250,13 @@
 // learn draws from an outcome what it tells about its upstream.
 func (b *Balancer) learn(a *attempt, o Outcome, now time.Duration) {
 	u, r := a.up, a.r
+	u.zone.tried(o.Status)
+	switch o.Status {
+	case OK:
+		u.errors -= 2 * smoothing * u.errors
+	case Error, Reset, ConnectFailed, Timeout:
+		u.errors += 2 * smoothing * (1 - u.errors)
+	}
 	if o.Status == OK || o.Status == Error || o.Status == Full {
 		b.answered(u, now)
 	}
@@ -358,15 +369,10 @@
 // step closes the period: saturated upstreams lose share by degrees, the others regain it. The threshold
 // follows the fleet's median, so a rise on all servers cuts nobody.
 func (b *Balancer) step(now time.Duration) {
-	var work, size float64
 	for _, u := range b.near {
 		b.integrate(u, now)
 		u.work, u.carried = u.work+smoothing*(u.carried-u.work), 0
-		if u.member && !u.cold && !u.silent && u.work > 0 {
-			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight*u.zone.tilt
-		}
 	}
-	b.carry = cmp.Or(work/max(size, math.SmallestNonzeroFloat32), b.carry) // with nobody to judge by, as before
 	threshold := max(areaFloor, areaRatio*b.rank(2, func(u *upstream) float64 { return u.area }))
 	for _, u := range b.near {
 		if u.readings >= bandWindow/2 && u.area > threshold {
@@ -388,11 +394,25 @@
 	b.gather(now)
 	b.lean(now)
 	b.returning()
+	b.weigh()
+}
+
+// weigh reckons what warm upstreams carry for their weight, as zones count now: a cold one's part is taken from it, and a
+// zone that counts for more from one moment to the next must not bring its cold ones more than their part.
+func (b *Balancer) weigh() {
+	var work, size float64
+	for _, u := range b.near {
+		if u.member && !u.cold && !u.silent && u.work > 0 && !u.zone.left && !u.zone.failed {
+			work += u.work / min(max(cmp.Or(u.mean, 1), levelFloor), 1)
+			size += u.weight * u.zone.part()
+		}
+	}
+	b.carry = cmp.Or(work/max(size, math.SmallestNonzeroFloat32), b.carry) // with nobody to judge by, as before
 }
 
 // share is u's part of the traffic, not scaled.
 func (b *Balancer) share(u *upstream, now time.Duration) float64 {
-	return u.weight * u.factor * b.ramp(u, now) * u.zone.tilt * u.zone.back
+	return u.weight * u.factor * b.ramp(u, now) * u.zone.part()
 }
 
 // --- Eligibility ---
@@ -410,7 +430,7 @@
 // chill treats u as freshly started: nothing learnt before holds.
 func (b *Balancer) chill(u *upstream, at time.Duration) {
 	u.cold, u.coldAt, u.lat, u.latDev, u.units, u.slow = true, at, 0, 0, 0, 0
-	u.readings, u.mean, u.dev, u.area, u.bound, u.calm = 0, 0, 0, 0, b.start, 0
+	u.readings, u.mean, u.dev, u.area, u.bound, u.calm, u.errors = 0, 0, 0, 0, b.start, 0, 0
 }
 
 // coldRoom reports whether r fits this balancer's part of what a cold u may get over TipAfter, judged by what
@@ -419,7 +439,7 @@
 	if b.carry == 0 { // no warm upstream to judge by: one at a time
 		return len(u.outs) == 0
 	}
-	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * u.zone.tilt * b.carry / bandPeriod.Seconds()
+	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * u.zone.part() * b.carry / bandPeriod.Seconds()
 	if b.stay > 0 {
 		rate *= leanCold
 	}
@@ -483,6 +503,8 @@
 	ok := now >= u.freeAt && now >= u.backAt && float64(len(u.outs)) < max(1, math.Floor(u.bound))
 	if u.zone.left {
 		return false
+	} else if u.zone.failed {
+		return ok && b.mayTry(u.zone, r, now) && (b.ramp(u, now) == 1 || b.coldRoom(u, r, now))
 	}
 	if u.silent { // the safest class goes first as a trial
 		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
@@ -609,7 +631,7 @@
 		if i >= int(2*want) || good >= want {
 			break
 		}
-		if chosen[u] = true; !u.cold && !u.silent && !u.zone.left {
+		if chosen[u] = true; !u.cold && !u.silent && !u.zone.left && !u.zone.failed {
 			good++
 		}
 	}
@@ -655,5 +677,6 @@
 			b.host.Probe(u.ID)
 		}
 	}
+	b.health(now)
 	b.dispatch(now)
 }
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"reflect"
@@ -173,7 +174,9 @@
 // The module breaks no rule on any example, whichever of three seeds draws it.
 func TestExamplesKeepTheRules(t *testing.T) {
 	files, err := filepath.Glob("../../../examples/*.toml")
-	if err != nil || len(files) < 5 {
+	zones, zonesErr := filepath.Glob("../../../examples/zones/*.toml")
+	files = append(files, zones...)
+	if err = errors.Join(err, zonesErr); err != nil || len(files) < 14 {
 		t.Fatalf("%d examples: %v", len(files), err)
 	}
 	for _, file := range files {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -114,8 +114,8 @@
 	return true, state
 }
 
-var zoneStates = map[sprucehill.ZoneState]string{sprucehill.ZoneWell: "well", sprucehill.ZoneLeft: "left",
-	sprucehill.ZoneReturning: "returning"}
+var zoneStates = map[sprucehill.ZoneState]string{sprucehill.ZoneWell: "well", sprucehill.ZoneDoubtful: "doubtful",
+	sprucehill.ZoneFailed: "failed", sprucehill.ZoneLeft: "left", sprucehill.ZoneReturning: "returning"}
 
 // WriteZones writes what each zone is to the balancer, one to a line.
 func (p *Proxy) WriteZones(w io.Writer) error {
--- a/state.go
+++ b/state.go
@@ -66,6 +66,7 @@
 	last                        Load
 	outs                        []*attempt // in order of sending
 	lat, latDev, units          float64    // usual latency, its mean deviation, ns; usual work of its answers
+	errors                      float64    // running mean of errors and breaks
 	slow, calm                  float64    // slow mean of the latency for the work; the least of that
 	bound, most                 float64    // attempts that may be out at once; its top this period
 	carried, work, spent        float64    // work sent this period; its mean; leaky count while cold
--- a/zones.go
+++ b/zones.go
@@ -22,6 +22,13 @@
 	homeGain   = 0.5  // a period's move for an excess of full use: reports lag by a period or two
 	homeStep   = 0.05 // the greatest move in a period
 	homeLeast  = 1e-3 // the least that a share elsewhere counts for: none may be forgotten
+	doubtPart  = 0.5  // of a zone's upstreams that are sick, others' being well: it gets half of its share
+	leavePart  = 0.75 // of them: it is left
+	aloneParts = 3    // times sicker than the rest, or the fault is not the zone's
+	leaveFloor = 0.4  // of all shares that the other zones must have: else everybody is needed
+	sickErrors = 0.5  // errors and breaks over which an upstream is sick
+	trialsGood = 3    // answers in a row that bring a zone back
+	holdMost   = 8    // times as long as at first are steps held at most, after setbacks
 	returnStep = 0.25 // of its share that a zone gains at once as it returns
 	returnHold = 3    // periods that a step is held at least: reports of the one before have come by then
 	leanCold   = 0.8  // of the cold budget: what leans to a zone does so at all its balancers at once
@@ -35,8 +42,15 @@
 	size, use    float64 // of those that take requests: shares without the tilt; mean use by their readings
 	read         float64 // size of those that have readings
 	left         bool    // by the operators: it gets nothing new
+	failed       bool    // left by its upstreams' evidence: it gets trials
+	returns      bool    // it has failed, and its share grows again
 	back         float64 // the part of its share that a zone has which returns; 1: all
-	held         int     // periods since its last step
+	held, hold   int     // periods since its last step; how long one is held, in returnHolds
+	members, bad int     // upstreams used, and sick ones among them
+	good         int     // answers to trials in a row
+	trial        *attempt
+	trialAt      time.Duration
+	wait         time.Duration // growing wait between trials
 }
 
 // zoneOf is the zone of a name, known from then on.
@@ -47,7 +61,7 @@
 		if !found {
 			region = ""
 		}
-		i, b.zones = len(b.zones), append(b.zones, &zone{name: name, region: region, tilt: 1, back: 1})
+		i, b.zones = len(b.zones), append(b.zones, &zone{name: name, region: region, tilt: 1, back: 1, hold: 1})
 	}
 	return b.zones[i]
 }
@@ -62,7 +76,7 @@
 	}
 	b.zones = slices.DeleteFunc(b.zones, func(z *zone) bool { return z.listed == 0 && z.name != b.s.Zone && !z.left })
 	for _, u := range b.near {
-		if !u.member || u.silent || u.zone.left {
+		if !u.member || u.silent || u.zone.left || u.zone.failed {
 			continue
 		}
 		size := b.share(u, now) / u.zone.tilt
@@ -211,6 +225,109 @@
 	return slices.Concat(ring[at:], ring[:at])
 }
 
+// --- Health ---
+//
+// A zone is well, doubtful (half of its upstreams sick: half of its share), failed (most of them: trials only) or
+// returning (its share grows by steps). Only its own upstreams' silences, failed connects, breaks and errors speak
+// against it, and only where the rest is far less sick: else the fault may be this balancer's own link, or everybody's.
+
+// sick tells whether u gives no good answers now.
+func (u *upstream) sick(now time.Duration) bool {
+	return u.silent || now < u.backAt || u.errors >= sickErrors
+}
+
+// health judges every zone by its upstreams.
+func (b *Balancer) health(now time.Duration) {
+	for _, z := range b.zones {
+		z.members, z.bad = 0, 0
+	}
+	members, bad, all := 0, 0, 0.0
+	changed := false
+	for _, u := range b.near {
+		if !u.member {
+			continue
+		}
+		all += u.weight
+		u.zone.members++
+		members++
+		if u.sick(now) {
+			u.zone.bad++
+			bad++
+		}
+	}
+	for _, z := range b.zones {
+		rest := float64(bad-z.bad) / float64(max(1, members-z.members))
+		switch {
+		case z.members == 0:
+			z.failed = false
+		case z.failed && z.good >= trialsGood:
+			z.failed, z.returns, z.back, z.held, changed = false, true, returnStep, 0, true
+			b.log(now, "zone", "zone %q answers again: its share grows by steps of %d periods", z.name, returnHold*z.hold)
+		case z.failed || z.left || rest*aloneParts > z.badPart():
+		case z.bad >= 2 && z.badPart() >= leavePart && b.without(z) >= leaveFloor*all:
+			if z.returns { // a setback
+				z.hold = min(2*z.hold, holdMost)
+			}
+			z.failed, z.returns, z.good, z.trial, z.trialAt, z.wait = true, false, 0, nil, now, 2*b.tick
+			changed = true
+			b.log(now, "zone", "zone %q: %d of %d upstreams give no good answers: trials only", z.name, z.bad, z.members)
+		case z.doubted() && z.back > doubtPart:
+			z.back, z.held, changed = doubtPart, 0, true
+		}
+		if z.back == 1 {
+			z.returns = false
+			if z.held >= returnHold*holdMost { // long well
+				z.hold = 1
+			}
+		}
+	}
+	if changed {
+		b.weigh()
+	}
+}
+
+// part is what a share counts for in a zone that takes requests.
+func (z *zone) part() float64 { return z.tilt * z.back }
+
+func (z *zone) badPart() float64 { return float64(z.bad) / float64(max(1, z.members)) }
+
+// doubted tells whether a good part of a zone is sick, and not one bad rack.
+func (z *zone) doubted() bool { return z.bad >= 2 && z.badPart() >= doubtPart }
+
+// without is the size of all well upstreams outside a zone.
+func (b *Balancer) without(z *zone) (size float64) {
+	for _, u := range b.near {
+		if u.member && u.zone != z && !u.silent && !u.zone.left && !u.zone.failed {
+			size += u.weight
+		}
+	}
+	return size
+}
+
+// tried notes how an attempt at a zone ended. A trial that fails makes the next wait longer.
+func (z *zone) tried(s Status) {
+	switch {
+	case s == OK:
+		z.good++
+	case s != Full && s != Cancelled && s != Moot:
+		z.good = 0
+	}
+}
+
+// mayTry tells whether a failed zone gets a trial, one at a time, of the safest class, so that it may go elsewhere.
+func (b *Balancer) mayTry(z *zone, r *request, now time.Duration) bool {
+	return now >= z.trialAt && r.class.Repeat == b.safest && (z.trial == nil || z.trial.ended)
+}
+
+// try notes a trial of a failed zone. While answers come well the next follows soon.
+func (z *zone) try(a *attempt, longest time.Duration) {
+	now := a.sentAt
+	z.trial, z.trialAt = a, now+z.wait
+	if z.wait = min(z.wait*waitGrowth, longest); z.good > 0 {
+		z.trialAt = now
+	}
+}
+
 // --- The operators' hand ---
 
 // ZoneState is what a zone is to a balancer.
@@ -219,6 +336,8 @@
 // The states.
 const (
 	ZoneWell      ZoneState = iota
+	ZoneDoubtful            // half of its upstreams are sick: half of its share
+	ZoneFailed              // most are: trials only
 	ZoneLeft                // by the operators: nothing new goes there
 	ZoneReturning           // its share grows in steps
 )
@@ -244,6 +363,7 @@
 	b.zones[i].left = true
 	b.gather(now)
 	b.lean(now)
+	b.weigh()
 	b.dispatch(now)
 	return true
 }
@@ -258,6 +378,7 @@
 	z.left, z.back, z.held = false, returnStep, 0
 	b.gather(now)
 	b.lean(now)
+	b.weigh()
 	b.dispatch(now)
 	return true
 }
@@ -267,7 +388,7 @@
 func (b *Balancer) returning() {
 	_, use, read := b.within(func(*zone) bool { return true })
 	for _, z := range b.zones {
-		if z.held++; z.left || z.back == 1 || z.held < returnHold {
+		if z.held++; z.left || z.failed || z.back == 1 || z.held < returnHold*z.hold || z.doubted() {
 			continue
 		}
 		if !read || z.read == 0 || z.use/z.read <= max(homeMargin*use+homeNoise, levelFloor) {
@@ -281,7 +402,7 @@
 	var all []ZoneStatus
 	shares, total := map[*zone]float64{}, 0.0
 	for _, u := range b.near {
-		if u.member && !u.zone.left {
+		if u.member && !u.zone.left && !u.zone.failed {
 			s := b.share(u, now)
 			shares[u.zone], total = shares[u.zone]+s, total+s
 		}
@@ -292,6 +413,10 @@
 		switch {
 		case z.left:
 			x.State = ZoneLeft
+		case z.failed:
+			x.State = ZoneFailed
+		case z.back < 1 && z.doubted():
+			x.State = ZoneDoubtful
 		case z.back < 1:
 			x.State = ZoneReturning
 		}
--- a/zones_test.go
+++ b/zones_test.go
@@ -218,3 +218,140 @@
 		}
 	})
 }
+
+// answered sends n reads and ends every attempt as its zone does; it tells how many attempts each zone got.
+func answered(b *Balancer, now time.Duration, first RequestID, n int, of map[string]Status) (after time.Duration, got map[string]int) {
+	got = map[string]int{}
+	for i := range n {
+		id := first + RequestID(i)
+		now += 20 * ms
+		b.Request(now, Request{ID: id, Class: "read", Budget: time.Second})
+		for r := b.requests[id]; r != nil && !r.done && r.out > 0; r = b.requests[id] {
+			k := len(r.attempts) - 1
+			u := r.attempts[k].up
+			got[u.Zone]++
+			b.Outcome(now, Outcome{ID: id, Upstream: u.ID, Attempt: k, Latency: 50 * ms, Status: of[u.Zone], Closed: of[u.Zone] == OK})
+		}
+		b.Timer(now, tickToken)
+	}
+	return now, got
+}
+
+func four(n int) []Upstream {
+	return sited(map[string]int{"near": n, "b": n, "c": n, "d": n}, "near", "b", "c", "d")
+}
+
+// A zone that answers everything at once with an error once drew traffic without end. It is left but for trials, the rest
+// are not; when it answers well it comes back by steps, and in the end has its part again.
+func TestBlackHoleIsLeftAndComesBack(t *testing.T) {
+	s := settings()
+	s.Zone = "d"
+	b, _ := start(t, s, four(4))
+	well := map[string]Status{"near": OK, "b": OK, "c": OK, "d": OK}
+	now, before := answered(b, time.Hour, 1, 400, well)
+	hole := map[string]Status{"near": OK, "b": Error, "c": OK, "d": OK}
+	now, _ = answered(b, now, 1000, 400, hole)
+	now, got := answered(b, now, 2000, 400, hole)
+	if z := b.zoneOf("b"); !z.failed || got["b"] > 20 {
+		t.Errorf("a zone of errors got %d of %v attempts, failed %v", got["b"], got, z.failed)
+	}
+	states := map[string]ZoneState{}
+	for _, z := range b.Zones(now) {
+		states[z.Name] = z.State
+	}
+	if states["b"] != ZoneFailed || states["c"] != ZoneWell {
+		t.Errorf("zones are told as %v", states)
+	}
+	for _, name := range []string{"near", "c", "d"} {
+		if b.zoneOf(name).failed {
+			t.Errorf("zone %s was left too", name)
+		}
+	}
+	now, _ = answered(b, now, 3000, 1500, well)
+	if z := b.zoneOf("b"); z.failed || z.back < 1 {
+		t.Errorf("after 30 s of good answers: failed %v, %v of its share", z.failed, z.back)
+	}
+	if _, after := answered(b, now, 5000, 400, well); after["b"] < before["b"]/2 {
+		t.Errorf("%d of 400 attempts before, %d after", before["b"], after["b"])
+	}
+}
+
+// Where every zone is sick alike the fault may be this balancer's own link: nobody is left. Nor is one whose loss the
+// others could not bear, nor one with a single bad rack.
+func TestZonesAreNotLeftLightly(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		list []Upstream
+		sick func(u *upstream) bool
+	}{
+		{"all alike", four(4), func(u *upstream) bool { return u.ID%4 != 0 }},
+		{"others somewhat less", four(4), func(u *upstream) bool { return u.Zone == "b" || u.ID%2 == 0 }},
+		{"the greater part of the fleet", sited(map[string]int{"near": 2, "b": 8}, "near", "b"), func(u *upstream) bool { return u.Zone == "b" }},
+		{"one bad rack of four", four(4), func(u *upstream) bool { return u.Zone == "b" && u.ID%4 == 0 }},
+		{"a lone upstream", four(1), func(u *upstream) bool { return u.Zone == "b" }},
+	} {
+		b, _ := start(t, settings(), c.list)
+		for _, u := range b.ups {
+			if c.sick(u) {
+				u.errors = 1
+			}
+		}
+		b.health(time.Hour)
+		for _, z := range b.zones {
+			if z.failed {
+				t.Errorf("%s: zone %s was left", c.name, z.name)
+			}
+		}
+	}
+}
+
+// Whatever happens to upstreams, no zone goes from failed to its whole share without each step, a failed one gets one
+// attempt at a time, and those that are not failed keep the floor.
+func TestZoneHealthGoesByItsSteps(t *testing.T) {
+	names := []string{"near", "b", "c", "d"}
+	rapid.Check(t, func(rt *rapid.T) {
+		b, _ := start(t, settings(), four(3))
+		now, id := time.Hour, RequestID(1)
+		back, failed, since := map[string]float64{}, map[string]bool{}, map[string]time.Duration{}
+		for _, z := range names {
+			back[z] = 1
+		}
+		for range rapid.IntRange(1, 30).Draw(rt, "events") {
+			of := map[string]Status{}
+			for _, z := range names {
+				of[z] = rapid.SampledFrom([]Status{OK, OK, Error, Reset, ConnectFailed, Full}).Draw(rt, z)
+			}
+			if rapid.Bool().Draw(rt, "a period") {
+				now = periods(b, now, 1, map[string]float64{"near": 0.3, "b": 0.3, "c": 0.3, "d": 0.3})
+			}
+			for range rapid.IntRange(1, 60).Draw(rt, "requests") {
+				now, _ = answered(b, now, id, 1, of)
+				id++
+				for _, z := range b.zones {
+					if !z.failed && failed[z.name] && z.back > returnStep {
+						rt.Fatalf("%s has %v of its share as it returns", z.name, z.back)
+					} else if !z.failed && z.back > back[z.name]+returnStep+1e-9 {
+						rt.Fatalf("%s went from %v to %v of its share", z.name, back[z.name], z.back)
+					} else if z.failed && !failed[z.name] && b.without(z) < leaveFloor*12 {
+						rt.Fatalf("%s was left, and only %v of 12 is well elsewhere", z.name, b.without(z))
+					}
+					out := 0
+					for _, u := range b.ups {
+						for _, a := range u.outs {
+							if u.zone == z && a.sentAt > since[z.name] {
+								out++
+							}
+						}
+					}
+					if z.failed && !failed[z.name] {
+						since[z.name] = now
+					}
+					if z.failed && failed[z.name] && out > 1 {
+						rt.Fatalf("%s is failed and has %d attempts out", z.name, out)
+					}
+					back[z.name], failed[z.name] = z.back, z.failed
+				}
+			}
+		}
+	})
+}
