--- a/internal/lab/day/day.go
+++ b/internal/lab/day/day.go
@@ -330,4 +330,13 @@
 	}
 }
 
+// Longest is the longest that a client waits.
+func (d *Day) Longest() time.Duration {
+	var longest time.Duration
+	for _, c := range d.Classes {
+		longest = max(longest, c.Deadline.D())
+	}
+	return longest
+}
+
 func lastPart(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
--- a/internal/lab/day/fault.go
+++ b/internal/lab/day/fault.go
@@ -59,6 +59,24 @@
 
 func kindNames() string { return strings.Join(slices.Sorted(maps.Keys(kinds)), ", ") }
 
+// silentNotice is how much later discovery learns of a machine that has vanished than of a process that has ended.
+const silentNotice = 4 * time.Second
+
+// Announced is what discovery comes to list the upstreams of a fault as when that begins or ends, and after how long its
+// agents have it. "": nothing, since discovery knows only of processes. cold: they have started anew.
+func (d *Day) Announced(fault Fault, on bool) (phase string, delay time.Duration, cold bool) {
+	begun := map[string]string{"drain": "draining", "vanish": "removed", "down": "removed"}[fault.Kind]
+	switch delay = d.Discovery.Delay.D(); {
+	case begun == "":
+		return "", 0, false
+	case !on:
+		return "up", delay, fault.Kind != "drain"
+	case fault.Kind == "vanish":
+		delay += silentNotice
+	}
+	return begun, delay, false
+}
+
 // Hit is whom a fault acts on.
 type Hit struct {
 	Scope    Scope
--- a/internal/lab/day/paths.go
+++ b/internal/lab/day/paths.go
@@ -14,6 +14,22 @@
 	Cut   bool
 }
 
+// resend is how long a lost message takes to be sent again, the least retransmission time of TCP on Linux. Each further
+// loss of the same message doubles it.
+const resend = 200 * time.Millisecond
+
+// Lag is how long a message of size bytes takes on a way that is not cut; coin draws from 0 to 1.
+func (c Condition) Lag(size float64, coin func() float64) time.Duration {
+	d := c.Delay
+	for again := resend; c.Loss > 0 && coin() < c.Loss; again *= 2 {
+		d += again
+	}
+	if c.Rate > 0 {
+		d += time.Duration(size / c.Rate * float64(time.Second))
+	}
+	return d
+}
+
 // Paths tells the condition of every way between parties: the network's own, and on it the faults that are on. Faults
 // that overlap add up: delays and losses join, the lowest rate counts, and a way stays cut until the last cut ends.
 type Paths struct {
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -18,10 +18,6 @@
 	"sprucehill/internal/lab/day"
 )
 
-// resend is how long a lost message takes to be sent again, the least retransmission time of TCP on Linux. Each
-// further loss of the same message doubles it.
-const resend = 200 * time.Millisecond
-
 // Net is the network of one day.
 type Net struct {
 	mu        sync.Mutex
@@ -116,14 +112,7 @@
 	if c.Cut || n.gone[from] || n.gone[to] {
 		return 0, true, n.changed
 	}
-	d = c.Delay
-	for again := resend; c.Loss > 0 && n.rng.Float64() < c.Loss; again *= 2 {
-		d += again
-	}
-	if c.Rate > 0 {
-		d += time.Duration(float64(size) / c.Rate * float64(time.Second))
-	}
-	return d, false, n.changed
+	return c.Lag(float64(size), n.rng.Float64), false, n.changed
 }
 
 // Conn is a connection between two parties, at the near one's end.
--- a/internal/lab/live/clients.go
+++ b/internal/lab/live/clients.go
@@ -38,16 +38,15 @@
 
 // try is a request of a client's.
 type try struct {
-	id                      uint64
-	arrival, number, class  int
-	method, path, key       string
-	body                    []byte
-	sentTo                  int // balancer
-	deadline                time.Duration
-	leaves                  time.Duration // 0: it stays
-	kept                    bool          // on a connection that had served before
-	wroteAt                 time.Duration
-	tenant, cookie, advised string
+	id                     uint64
+	arrival, number, class int
+	method, path, key      string
+	body                   []byte
+	sentTo                 int // balancer
+	deadline               time.Duration
+	leaves                 time.Duration // 0: it stays
+	wroteAt                time.Duration
+	tenant, cookie         string
 }
 
 // event is one of this try.
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -185,7 +185,7 @@
 		return again()
 	case "term":
 		if on {
-			return n.terminate(n.run.longest() + lastCalls)
+			return n.terminate(n.run.day.Longest() + lastCalls)
 		}
 		if _, _, ended := n.state(); !ended {
 			n.kill()
@@ -195,7 +195,7 @@
 		if !on {
 			return nil
 		}
-		if err := n.terminate(n.run.longest() + lastCalls); err != nil {
+		if err := n.terminate(n.run.day.Longest() + lastCalls); err != nil {
 			return err
 		}
 		return again()
--- a/internal/lab/live/registry.go
+++ b/internal/lab/live/registry.go
@@ -13,9 +13,6 @@
 	"sprucehill/internal/lab/history"
 )
 
-// silentNotice is how much later discovery learns of a machine that has vanished than of a process that has ended.
-const silentNotice = 4 * time.Second
-
 // toldAnyway is how long after an agent holds news its balancer counts as told though it has not asked, as long as the
 // agent would have answered.
 const toldAnyway = 6 * time.Second
@@ -262,17 +259,11 @@
 
 // upstreamChange tells of an upstream's fate as discovery learns of it.
 func (g *registry) upstreamChange(u int, fault day.Fault, on bool, since time.Time) {
-	delay := g.run.day.Discovery.Delay.D()
-	phase := map[string]string{"drain": "draining", "vanish": "removed", "down": "removed"}[fault.Kind]
-	switch {
-	case phase == "": // discovery knows only of processes
-	case !on && fault.Kind == "drain":
-		g.tell(u, "up", time.Time{}, delay)
-	case !on:
-		g.tell(u, "up", since, delay)
-	case fault.Kind == "vanish":
-		g.tell(u, phase, time.Time{}, delay+silentNotice)
-	default:
-		g.tell(u, phase, time.Time{}, delay)
+	phase, delay, cold := g.run.day.Announced(fault, on)
+	if !cold {
+		since = time.Time{}
+	}
+	if phase != "" {
+		g.tell(u, phase, since, delay)
 	}
 }
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -257,7 +257,7 @@
 func (r *run) end() {
 	var all sync.WaitGroup
 	for _, n := range r.nodes {
-		all.Go(func() { n.end(r.longest() + lastCalls) })
+		all.Go(func() { n.end(r.day.Longest() + lastCalls) })
 	}
 	all.Wait()
 	for _, n := range r.nodes {
@@ -281,14 +281,6 @@
 	}
 }
 
-func (r *run) longest() time.Duration {
-	var d time.Duration
-	for _, c := range r.day.Classes {
-		d = max(d, c.Deadline.D())
-	}
-	return d
-}
-
 // progress tells of the time that goes by.
 func (r *run) progress(ctx context.Context) {
 	if r.options.Progress == nil {
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -26,8 +26,6 @@
 	lameDuck = 500 * time.Millisecond
 	// spareIdle is how long before its upstream a balancer closes an idle connection.
 	spareIdle = 5 * time.Second
-	// silentNotice is how much later discovery learns of a machine that has vanished.
-	silentNotice = 4 * time.Second
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = time.Second
 )
@@ -272,7 +270,7 @@
 		if s.linked = true; s.told {
 			n.idle(s.up)
 		} else {
-			n.write(s, false)
+			n.write(s)
 		}
 	case rst:
 		if s.told && s.linked {
@@ -316,9 +314,9 @@
 }
 
 // write sends an attempt on its connection.
-func (n *node) write(s *sending, kept bool) {
+func (n *node) write(s *sending) {
 	s.linked = true
-	n.send(n.sim.servers[s.up], message{kind: attempt, id: s.of.try.id, n: s.n, try: s.of.try, kept: kept})
+	n.send(n.sim.servers[s.up], message{kind: attempt, id: s.of.try.id, n: s.n, try: s.of.try})
 }
 
 // stop ends an attempt. One that was never written is moot; the connection of one that was is closed.
@@ -436,7 +434,7 @@
 		n.due = append(n.due, owing{s, sprucehill.Moot})
 	case last >= 0:
 		p.idle = p.idle[:last]
-		n.write(s, true)
+		n.write(s)
 	case !n.room():
 		n.due = append(n.due, owing{s, sprucehill.Moot})
 	default:
@@ -513,22 +511,13 @@
 
 // announce lets every agent know of a fault's effect, as discovery learns of it.
 func (s *sim) announce(c day.Change, fault day.Fault, hit day.Hit) {
-	x := &news{upstreams: hit.Targets, phase: "up"}
-	delay := s.day.Discovery.Delay.D()
-	switch fault.Kind {
-	case "down", "vanish":
-		if x.since = c.At; c.On {
-			x.phase = "removed"
-			if fault.Kind == "vanish" {
-				delay += silentNotice
-			}
-		}
-	case "drain":
-		if c.On {
-			x.phase = "draining"
-		}
-	default:
-		return // discovery knows only of processes
+	phase, delay, cold := s.day.Announced(fault, c.On)
+	if phase == "" {
+		return
+	}
+	x := &news{upstreams: hit.Targets, phase: phase}
+	if cold {
+		x.since = c.At
 	}
 	for _, a := range s.nodes {
 		a.now = max(a.now, c.At)
--- a/internal/lab/model/sim.go
+++ b/internal/lab/model/sim.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// resend is how long a lost message takes to be sent again, as on live links; a further loss doubles it.
-	resend = 200 * time.Millisecond
+	// messageSize is the bytes of a message with its head, on ways that have a rate.
+	messageSize = 400
 	// manyActors is how many actors must have something to do before it is worth waking other workers.
 	manyActors = 8
 	// tail is how long after the last deadline the day still runs, for answers that are late and for retries.
@@ -267,7 +267,7 @@
 func (s *sim) run(ctx context.Context, o Options) error {
 	changes, hits := s.day.Timetable()
 	s.hits = hits
-	over := s.day.Length.D() + s.longest() + tail
+	over := s.day.Length.D() + s.day.Longest() + tail
 	told := time.Duration(0)
 	pool := newPool(max(1, o.Workers))
 	defer pool.close()
@@ -311,14 +311,6 @@
 	return nil
 }
 
-func (s *sim) longest() time.Duration {
-	var d time.Duration
-	for _, c := range s.day.Classes {
-		d = max(d, c.Deadline.D())
-	}
-	return d
-}
-
 // work lets an actor take its messages up to a time.
 func (a *actor) work(until time.Duration) {
 	for len(a.queue) > 0 && a.queue[0].at < until {
@@ -411,14 +403,7 @@
 		a.held = append(a.held, parcel{to, m})
 		return
 	}
-	d := c.Delay
-	for again := resend; c.Loss > 0 && a.rng.Float64() < c.Loss; again *= 2 {
-		d += again
-	}
-	if c.Rate > 0 {
-		const size = 400 // bytes of a message with its head
-		d += time.Duration(size / c.Rate * float64(time.Second))
-	}
+	d := c.Lag(messageSize, a.rng.Float64)
 	m.at, m.from, m.to, m.seq = a.now+max(d, a.sim.least), a.id, to.id, a.next()
 	a.out = append(a.out, m)
 }
