Send nothing on for a client that has left, whatever may be cancelled

Cause: loop.close only noted that a request is over. An attempt that waited for its connection was dropped by loop.end, which only the module's Cancel reaches, and it cancels only where the settings allow that: elsewhere dialer.run claimed the attempt when the connection came up. The same for requests that failed at their deadline or were refused. Ruled out: requests held by the module (Gone marks them, dispatch skips them). Change: close drops what waits; its outcome is moot, and a dropped attempt is moot whoever tells its end first. Tests with connections held back by a gate in the dialer: each effect, with and without cancelling, nothing arrives after the leave has been taken in, the upstream's figures do not move, the connection serves the next.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,9 @@
 // Set puts the gauge to n.
 func (g *Gauge) Set(n int) { g.n.Store(int64(n)) }
 
+// Value is how many there are now.
+func (g *Gauge) Value() int { return int(g.n.Load()) }
+
 // Label tells figures of one name apart.
 type Label struct{ Name, Value string }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -34,6 +34,7 @@
 	Keeper Keeper
 	// Localities gives zones that discovery and settings name without a region the form region/zone. It may be nil.
 	Localities map[string]string
+	open       opener // of connections to upstreams; nil: net.DialTimeout
 }
 
 // Locate takes a map from zones to region/zone for all that is named from then on. It belongs before New.
--- /dev/null
+++ b/internal/proxy/leave_test.go
@@ -0,0 +1,260 @@
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sprucehill"
+	"sprucehill/internal/wire"
+)
+
+// gate holds connections to upstreams back, each until the test lets it up.
+type gate struct {
+	asked chan *dialing // each connection that is asked for
+	all   chan struct{} // closed: all come up
+	once  sync.Once
+}
+
+// dialing is a connection that is asked for.
+type dialing struct {
+	address string
+	up      chan struct{} // closed by the test: it comes up
+}
+
+func newGate(t *testing.T) *gate {
+	g := &gate{asked: make(chan *dialing, 1000), all: make(chan struct{})}
+	t.Cleanup(g.lift)
+	return g
+}
+
+// next is the next connection that is asked for.
+func (g *gate) next(t *testing.T) *dialing {
+	t.Helper()
+	select {
+	case d := <-g.asked:
+		return d
+	case <-time.After(30 * time.Second):
+		t.Fatal("no connection was asked for")
+		return nil
+	}
+}
+
+func (g *gate) lift() { g.once.Do(func() { close(g.all) }) }
+
+func (g *gate) open(network, address string, timeout time.Duration) (net.Conn, error) {
+	d := &dialing{address, make(chan struct{})}
+	g.asked <- d
+	select {
+	case <-d.up:
+	case <-g.all:
+	}
+	return net.DialTimeout(network, address, timeout)
+}
+
+// with changes settingsText: each pair is a text in it and what stands there instead.
+func with(t *testing.T, pairs ...string) func(*Config) {
+	t.Helper()
+	text := settingsText
+	for i := 0; i < len(pairs); i += 2 {
+		if !strings.Contains(text, pairs[i]) {
+			t.Fatalf("the settings have no %q", pairs[i])
+		}
+		text = strings.Replace(text, pairs[i], pairs[i+1], 1)
+	}
+	return func(c *Config) {
+		var err error
+		if c.Settings, c.Links, err = wire.DecodeSettings(json.RawMessage(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// inLoop has the loop do something between two events.
+func (b *balancer) inLoop(t *testing.T, do func(l *loop)) {
+	t.Helper()
+	asked := order{do, make(chan struct{})}
+	b.proxy.loop.post(asked)
+	<-asked.done
+}
+
+// await waits until something is so, as the loop sees it. Only a failure takes long.
+func (b *balancer) await(t *testing.T, what string, is func(l *loop) bool) {
+	t.Helper()
+	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		done := false
+		b.inLoop(t, func(l *loop) { done = is(l) })
+		if done {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("never so: %s", what)
+		}
+	}
+}
+
+// settled waits until nothing is held or out any more, and every connection that is counted idles.
+func (b *balancer) settled(t *testing.T) {
+	t.Helper()
+	b.await(t, "no request, no attempt, all connections idle", func(l *loop) bool {
+		idle, out := 0, 0
+		for _, p := range l.peers {
+			idle, out = idle+len(p.idle), out+len(p.out)
+		}
+		return len(l.requests) == 0 && out == 0 && idle == l.conns && len(l.due) == 0
+	})
+	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		held, busy := b.proxy.loop.dial.held.free.Load(), b.proxy.loop.figures.inProgress.Value()
+		if held == b.proxy.config.heldBytes() && busy == 0 {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("bytes to hold: %d of %d; requests in progress: %d", held, b.proxy.config.heldBytes(), busy)
+		}
+	}
+}
+
+// leaveTaken waits until nothing is owed any more: every client has its answer, or has been seen to leave.
+func (b *balancer) leaveTaken(t *testing.T) {
+	t.Helper()
+	b.await(t, "every request is closed", func(l *loop) bool {
+		for _, r := range l.requests {
+			if !r.closed {
+				return false
+			}
+		}
+		return l.figures.inProgress.Value() == 0
+	})
+}
+
+// raw writes a request on a connection of its own, and leaves the answer to the test.
+func (b *balancer) raw(t *testing.T, class, body, behind string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second)) // only a failure takes as long
+	var text bytes.Buffer
+	if err := b.ask(class, body).Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	text.WriteString(behind)
+	if _, err := c.Write(text.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+var cancelling = map[string]string{"cancel": `"cancel":true`, "no cancel": `"cancel":false`}
+
+// A client that leaves while its request waits for a connection takes it along, whatever its class and whether or not the
+// settings allow cancelling what has been sent: no byte of it reaches the upstream once the leave has been taken in. Where
+// they did not, it was sent on when the connection came up.
+func TestLeftDuringADialIsNotSent(t *testing.T) {
+	for name, cancel := range cancelling {
+		for _, class := range []string{"read", "pay", "checkin"} {
+			t.Run(name+" "+class, func(t *testing.T) {
+				s, g := newServer(t, okAll), newGate(t)
+				b := newBalancerWith(t, newRegistry(t), func(c *Config) {
+					with(t, `"cancel":true`, cancel)(c)
+					c.open = g.open
+				}, up("s-00000001", s))
+				c := b.raw(t, class, "", "")
+				g.next(t)
+				c.Close()
+				b.leaveTaken(t)
+				var bounds map[sprucehill.UpstreamID]sprucehill.Learnt
+				b.inLoop(t, func(l *loop) { bounds = learntOf(l) })
+				g.lift()
+				b.settled(t)
+				want(t, "requests at the upstream", len(s.arrivals), 0)
+				b.inLoop(t, func(l *loop) {
+					want(t, "connections", l.conns, 1) // it serves the next
+					want(t, "figures of the upstream", fmt.Sprint(learntOf(l)), fmt.Sprint(bounds))
+				})
+				status, _ := b.do(t, b.ask(class, ""))
+				want(t, "status of the next", status, 200)
+				want(t, "opened", s.opened(), 1)
+			})
+		}
+	}
+}
+
+// learntOf is what the module has learnt of each upstream.
+func learntOf(l *loop) map[sprucehill.UpstreamID]sprucehill.Learnt {
+	all := map[sprucehill.UpstreamID]sprucehill.Learnt{}
+	for _, x := range l.balancer.Snapshot(l.now()).Upstreams {
+		all[x.ID] = x
+	}
+	return all
+}
+
+// Many clients leave at moments drawn from a seed: at once, as their connection is asked for, as it comes up, or once they
+// are served. What has not been claimed for writing when the leave has been taken in never reaches the upstream, and all
+// that was counted is back at the end.
+func TestLeavesAtAnyMoment(t *testing.T) {
+	for name, cancel := range cancelling {
+		t.Run(name, func(t *testing.T) {
+			const seed, clients = 17, 300
+			rng := rand.New(rand.NewPCG(seed, 0))
+			g := newGate(t)
+			s := newServer(t, func(c net.Conn, r *http.Request) bool { // each attempt needs a connection of its own
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+				return false
+			})
+			b := newBalancerWith(t, newRegistry(t), func(c *Config) {
+				with(t, `"cancel":true`, cancel)(c)
+				c.open = g.open
+			}, up("s-00000001", s))
+			forbidden := map[string]bool{}
+			for range clients {
+				c := b.raw(t, []string{"read", "pay", "checkin"}[rng.IntN(3)], "", "")
+				id := fmt.Sprintf("%016x", lastID)
+				phase := rng.IntN(4)
+				if phase == 0 {
+					c.Close()
+				}
+				d := g.next(t)
+				switch phase {
+				case 2: // in either order
+					go close(d.up)
+				case 3:
+					close(d.up)
+					if _, err := io.ReadAtLeast(c, make([]byte, 12), 12); err != nil {
+						t.Fatalf("seed %d, request %s: %v", seed, id, err)
+					}
+				}
+				c.Close()
+				b.leaveTaken(t)
+				if phase < 2 {
+					forbidden[id] = true
+					close(d.up)
+				}
+				b.settled(t)
+				b.inLoop(t, func(l *loop) { l.Disconnect(1) }) // the next needs one of its own
+			}
+			s.quiet(t, clients)
+			sent := 0
+			for len(s.arrivals) > 0 {
+				r := <-s.arrivals
+				if sent++; forbidden[r.Header.Get("X-Request-Id")] {
+					t.Errorf("seed %d: request %s was sent on after its client had left", seed, r.Header.Get("X-Request-Id"))
+				}
+			}
+			t.Logf("seed %d: %d clients, %d left while their request waited, %d requests sent", seed, clients, len(forbidden), sent)
+			if len(forbidden) < clients/8 || sent < clients/8 {
+				t.Errorf("seed %d: too few of a kind", seed)
+			}
+		})
+	}
+}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -120,7 +121,10 @@
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), places: c.Localities, requests: map[sprucehill.RequestID]*request{}, peers: map[sprucehill.UpstreamID]*peer{},
 		stopWatch: func() {}}
-	l.dial = dialer{timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes())}
+	l.dial = dialer{open: c.open, timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes())}
+	if l.dial.open == nil {
+		l.dial.open = net.DialTimeout
+	}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
@@ -352,9 +356,10 @@
 	if a.told {
 		return
 	}
-	if a.drop() {
+	a.drop()
+	if a.stage.Load() == dropped {
 		status = sprucehill.Moot
-	} else if a.stage.Load() == claimed {
+	} else {
 		a.given.Store(true)
 		a.conn.SetDeadline(time.Unix(0, 1)) // its connection is closed: that tells the upstream to stop, and frees its room
 	}
@@ -376,9 +381,15 @@
 	}
 }
 
-// close notes that nothing more is owed for r.
+// close notes that nothing more is owed for r. What still waits for its connection is not sent on: nobody would get the
+// answer, whether or not the settings allow cancelling what has been sent.
 func (l *loop) close(r *request) {
 	r.closed = true
+	for _, a := range r.attempts {
+		if a.drop() {
+			l.due = append(l.due, owing{a, sprucehill.Moot})
+		}
+	}
 	l.release(r)
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -35,6 +35,7 @@
 	arrivals chan *http.Request // each request whose last byte has come, with its body read
 	mu       sync.Mutex
 	conns    int
+	ended    int // of the connections
 }
 
 // newServer starts an upstream. answer writes what it likes; false closes the connection.
@@ -45,7 +46,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &server{addr: l.Addr().String(), arrivals: make(chan *http.Request, 100)}
+	s := &server{addr: l.Addr().String(), arrivals: make(chan *http.Request, 1000)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -62,7 +63,12 @@
 }
 
 func (s *server) converse(c net.Conn, answer func(net.Conn, *http.Request) bool) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		s.ended++
+		s.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
@@ -81,6 +87,22 @@
 	}
 }
 
+// quiet waits until so many connections have come and ended: all that was written to them has been read.
+func (s *server) quiet(t *testing.T, conns int) {
+	t.Helper()
+	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		came, ended := s.conns, s.ended
+		s.mu.Unlock()
+		if came == conns && ended == conns {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%d connections have come and %d ended, want %d", came, ended, conns)
+		}
+	}
+}
+
 func (s *server) opened() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,7 +256,7 @@
 }
 
 func testDialer() dialer {
-	return dialer{timeout: time.Second, tries: &metrics.Counter{}, held: newBudget(1 << 20)}
+	return dialer{open: net.DialTimeout, timeout: time.Second, tries: &metrics.Counter{}, held: newBudget(1 << 20)}
 }
 
 func want(t *testing.T, what string, got, want any) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -125,8 +125,12 @@
 	return s.conn
 }
 
+// opener opens a connection to an address.
+type opener func(network, address string, timeout time.Duration) (net.Conn, error)
+
 // dialer opens connections to upstreams.
 type dialer struct {
+	open    opener
 	timeout time.Duration
 	tries   *metrics.Counter // attempts written whole
 	held    *budget
@@ -140,7 +144,7 @@
 		}
 		idle.Close() // nothing was written on it: another connection serves as well
 	}
-	c, err := net.DialTimeout("tcp", address, d.timeout)
+	c, err := d.open("tcp", address, d.timeout)
 	if err != nil {
 		return nil, err
 	}
