--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -422,20 +422,14 @@
 		wait = timeout
 		l.alarm(alarm{at: now + timeout, attempt: a})
 	}
-	switch {
-	case r.closed || wait <= 0 || p.state != sprucehill.Active:
+	ok := !r.closed && wait > 0 && p.state == sprucehill.Active
+	if ok {
+		a.conn, ok = l.take(p)
+	}
+	if !ok { // nothing of its upstream's
 		a.drop()
 		l.due = append(l.due, owing{a, sprucehill.Moot})
 		return
-	case len(p.idle) > 0:
-		a.conn = p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-	case !l.room():
-		a.drop()
-		l.due = append(l.due, owing{a, sprucehill.Moot}) // nothing of its upstream's
-		return
-	default:
-		l.conns++
 	}
 	p.out[a], a.message = struct{}{}, r.message
 	go func() {
@@ -547,15 +541,14 @@
 // Probe asks an upstream for its load.
 func (l *loop) Probe(up sprucehill.UpstreamID) {
 	p := l.peers[up]
-	if p == nil || p.state != sprucehill.Active || (len(p.idle) == 0 && !l.room()) {
+	if p == nil || p.state != sprucehill.Active {
 		return
 	}
-	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != sprucehill.ReportNone}
-	if n := len(p.idle); n > 0 {
-		b.conn, p.idle = p.idle[n-1], p.idle[:n-1]
-	} else {
-		l.conns++
+	c, ok := l.take(p)
+	if !ok {
+		return
 	}
+	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != sprucehill.ReportNone, conn: c}
 	go func() {
 		res := l.dial.probe(b)
 		l.post(probed{b, res})
@@ -591,6 +584,25 @@
 	}
 }
 
+// take is an idle connection to p for use, or nil and room for a new one; false: there is neither. One that has idled for
+// long is not used any more, between two sweeps as well: what is written as its upstream closes it ends as a reset, which
+// some classes may not send again.
+func (l *loop) take(p *peer) (*conn, bool) {
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		if l.now()-c.idleAt < l.idleFor {
+			p.idle = p.idle[:n-1]
+			return c, true
+		}
+		l.Disconnect(p.id) // the youngest
+	}
+	if !l.room() {
+		return nil, false
+	}
+	l.conns++
+	return nil, true
+}
+
 // room tells whether another connection may be opened. Where all are taken, the one that has idled longest, at
 // whatever upstream, gives way: an attempt that finds no room ends as if its upstream could not be reached.
 func (l *loop) room() bool {
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -142,3 +143,48 @@
 		}
 	}
 }
+
+// A connection was used up to a second after the age at which it is to be closed, until the sweep came by: its upstream may
+// close it just then, and a class that must not run twice can't be sent again. Attempts and probes open another instead.
+func TestIdleConnectionIsNotUsedPastItsAge(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		age  func(l *loop) time.Duration
+		uses bool
+	}{
+		{"young", func(l *loop) time.Duration { return l.idleFor / 2 }, true},
+		{"of age", func(l *loop) time.Duration { return l.idleFor }, false},
+	} {
+		for _, probes := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, probe %v", x.name, probes), func(t *testing.T) {
+				s := newServer(t, okAll)
+				l := bench(t, 10)
+				p := join(l, 1, s)
+				older := idle(t, l, p, l.now()-2*l.idleFor)
+				idle(t, l, p, l.now()-x.age(l))
+				l.sweepAt = l.now() + time.Hour // not yet
+				if probes {
+					l.Probe(1)
+				} else {
+					l.request(1)
+					l.Send(1, 1, 0)
+				}
+				e := <-l.events
+				e.apply(l)
+				<-s.arrivals
+				opened := 3
+				if x.uses {
+					opened = 2
+				}
+				want(t, "connections opened", s.opened(), opened)
+				want(t, "connections counted", l.conns, len(p.idle))
+				if !x.uses {
+					older.SetReadDeadline(time.Now().Add(10 * time.Second))
+					if _, err := older.Read(make([]byte, 1)); err == nil {
+						t.Error("bytes on a closed connection")
+					}
+				}
+			})
+		}
+	}
+}
