Send nothing to an address that its upstream has left while a connection comes up

Cause: loop.members dropped waiting attempts only of upstreams that drain or are gone. One whose address changed under its id got them at the old address, where another may listen. Change: an attempt whose address is not its upstream's any more is dropped as moot, and the module sends it to where the upstream is now. Test with the connection held back by a gate, for up, draining, removed.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -713,11 +713,10 @@
 			p.state = sprucehill.Gone
 			l.Disconnect(id)
 		}
-		if p.state != sprucehill.Active {
-			for a := range p.out {
-				if a.drop() { // its upstream left while it waited for a connection
-					l.due = append(l.due, owing{a, sprucehill.Moot})
-				}
+		for a := range p.out {
+			// Its upstream left or moved while it waited for a connection: another may have the address now.
+			if (p.state != sprucehill.Active || a.address != p.address) && a.drop() {
+				l.due = append(l.due, owing{a, sprucehill.Moot})
 			}
 		}
 	}
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -188,3 +189,35 @@
 		}
 	}
 }
+
+// A list gives an upstream another address, or takes it away, while an attempt waits for its connection: the attempt is
+// moot, and nothing of it goes to the old address. Where the address alone changed it was sent there.
+func TestMovedUpstreamGetsNothingAtItsOldAddress(t *testing.T) {
+	for _, phase := range []string{"up", "draining", "removed"} {
+		t.Run(phase, func(t *testing.T) {
+			before, after, g := newServer(t, okAll), newServer(t, okAll), newGate(t)
+			b := newBalancerWith(t, newRegistry(t), func(c *Config) { c.open = g.open }, up("s-00000001", before))
+			c := b.raw(t, "checkin", "", "")
+			first := g.next(t)
+			m := up("s-00000001", after)
+			m.Phase = phase
+			list := listing{Revision: 12, Members: []member{m}}
+			if phase != "up" {
+				list.Members = append(list.Members, up("s-00000002", after))
+			}
+			<-b.registry.calls
+			b.registry.answers <- list
+			<-b.registry.calls // the list has been taken
+			second := g.next(t)
+			want(t, "goes on to", second.address, after.addr)
+			close(first.up) // later than the list
+			close(second.up)
+			if _, err := io.ReadAtLeast(c, make([]byte, 12), 12); err != nil {
+				t.Fatal(err)
+			}
+			b.settled(t)
+			want(t, "requests at the old address", len(before.arrivals), 0)
+			want(t, "requests at the new one", len(after.arrivals), 1)
+		})
+	}
+}
