Hear an agent that began anew, and the old discovery until the new one answers

Causes, in hear and watch: (1) a lower revision was passed over for ever, though an agent that begins anew counts from the start; (2) an answer of the old discovery was dropped from the signal on, though what it wrote counts as told; (3) a watch asked on from a revision that the loop had not taken. Change: a lower revision counts where two calls begun after the held answer both say so (one alone is out of date; a change of a list that is not held asks for all); the old watch goes on until the new discovery has answered; the loop alone moves the revision, before the next call. Tests: whole list and changes; a drain told by the old one.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -120,16 +120,19 @@
 type discovery struct {
 	url      string
 	client   *http.Client
-	revision atomic.Uint64 // of the list that the loop holds
-	post     func(listed)
-	rest     atomic.Int64 // time.Duration before the first call; 0 from then on
+	revision atomic.Uint64 // of the list that the loop holds, and sets: what it has not taken is asked for again
+	order    atomic.Uint64 // counts calls and answers
+	post     func(listed)  // returns once the loop has taken it
+	rest     atomic.Int64  // time.Duration before the first call; 0 from then on
 }
 
 // listed is an answer of discovery, or the failure of a call.
 type listed struct {
 	listing
-	err  error
-	from *discovery
+	err          error
+	from         *discovery
+	began, ended uint64 // the call and its answer, in the order of all those of this discovery
+	taken        chan struct{}
 }
 
 func newDiscovery(address string, revision uint64) *discovery {
@@ -148,40 +151,36 @@
 	for ctx.Err() == nil {
 		next := time.After(watchPause)
 		since := d.revision.Load()
-		l, err := d.call(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, since, watchWait.Milliseconds()), watchWait+callPatience)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
+		x := d.call(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, since, watchWait.Milliseconds()), watchWait+callPatience)
+		if x.err != nil {
+			if ctx.Err() != nil {
+				return
+			}
 			<-next // what the module does on a failure may be to ask again at once
-			d.post(listed{listing: l, err: err})
+			d.post(x)
 			return
 		}
-		d.post(listed{listing: l})
-		d.hold(l.Revision)
+		d.post(x) // it has been told, also where the watch was ended just then
 		<-next
 	}
 }
 
 // fetch asks for the whole list once.
 func (d *discovery) fetch(ctx context.Context) {
-	l, err := d.call(ctx, d.url, callPatience)
-	if ctx.Err() != nil {
-		return
-	}
-	d.post(listed{listing: l, err: err})
-	if err == nil {
-		d.hold(l.Revision)
+	if x := d.call(ctx, d.url, callPatience); x.err == nil || ctx.Err() == nil {
+		d.post(x)
 	}
 }
 
-// hold notes a revision that has been posted; it never goes back.
-func (d *discovery) hold(revision uint64) {
-	for held := d.revision.Load(); revision > held && !d.revision.CompareAndSwap(held, revision); held = d.revision.Load() {
-	}
+// call asks once.
+func (d *discovery) call(ctx context.Context, url string, patience time.Duration) listed {
+	x := listed{from: d, began: d.order.Add(1)}
+	x.listing, x.err = d.ask(ctx, url, patience)
+	x.ended = d.order.Add(1)
+	return x
 }
 
-func (d *discovery) call(ctx context.Context, url string, patience time.Duration) (listing, error) {
+func (d *discovery) ask(ctx context.Context, url string, patience time.Duration) (listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var l listing
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -84,16 +84,20 @@
 	epoch     time.Duration
 	discovery *discovery
 	stopWatch context.CancelFunc
-	dial      dialer
-	settings  sprucehill.Settings
-	idleFor   time.Duration
-	maxConns  int
+	// stopFormer ends the watch of the discovery before, which goes on until the present one has answered.
+	stopFormer context.CancelFunc
+	dial       dialer
+	settings   sprucehill.Settings
+	idleFor    time.Duration
+	maxConns   int
 
 	names    *names
 	places   map[string]string // zones as region/zone
 	zones    zoneFigures
 	state    *state
 	revision uint64
+	heardAt  uint64 // the latest answer that was taken, in the discovery's order; 0: none of the present one
+	older    bool   // the last answer was of an older list than the one held
 	serial   uint64
 	alarms   alarms
 	requests map[sprucehill.RequestID]*request
@@ -120,7 +124,7 @@
 		origin: time.Now(), settings: c.Settings, figures: newFigures(c.Settings.Classes),
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), places: c.Localities, requests: map[sprucehill.RequestID]*request{}, peers: map[sprucehill.UpstreamID]*peer{},
-		stopWatch: func() {}}
+		stopWatch: func() {}, stopFormer: func() {}}
 	l.dial = dialer{open: c.open, timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes())}
 	if l.dial.open == nil {
 		l.dial.open = net.DialTimeout
@@ -140,9 +144,14 @@
 func (l *loop) follow(address string, revision uint64) {
 	d := newDiscovery(address, revision)
 	d.post = func(x listed) {
-		x.from = d
+		x.taken = make(chan struct{})
 		select {
 		case l.lists <- x:
+		case <-l.ctx.Done():
+			return
+		}
+		select {
+		case <-x.taken:
 		case <-l.ctx.Done():
 		}
 	}
@@ -528,7 +537,9 @@
 	l.Log("discovery is at " + string(e) + " now")
 	old := l.discovery
 	// What the old one had not told yet, the new one tells from the beginning; its revisions are its own.
-	l.revision = 0
+	l.revision, l.heardAt, l.older = 0, 0, false
+	l.stopFormer()
+	l.stopFormer, l.stopWatch = l.stopWatch, func() {}
 	l.state.discovery = string(e)
 	l.follow(string(e), 0)
 	l.Watch(true)
@@ -678,18 +689,38 @@
 
 // hear takes an answer of discovery.
 func (l *loop) hear(x listed) {
+	defer close(x.taken)
+	mode := sprucehill.ListDelta
+	if x.Complete {
+		mode = sprucehill.ListFull
+	}
 	switch {
-	case x.from != l.discovery: // it has moved since
-		return
+	case x.from != l.discovery:
+		// It has moved since. What the old one had told counts all the same, until the new one says what is so; the
+		// revisions of the two have nothing to do with each other.
+		if x.err == nil && l.heardAt == 0 {
+			x.Revision = 0
+			l.members(mode, x.listing)
+		}
 	case x.err != nil:
 		l.Log(x.err.Error())
 		l.balancer.Members(l.now(), sprucehill.ListFailed, nil)
-	case x.Revision < l.revision: // overtaken by a newer one: it must not undo that
+	case x.Revision < l.revision && (x.began < l.heardAt || !l.older):
+		// Overtaken by a newer one, or out of date: it must not undo that. An agent that began anew says so again.
 		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
-	case x.Complete:
-		l.members(sprucehill.ListFull, x.listing)
+		l.older = x.began >= l.heardAt
 	default:
-		l.members(sprucehill.ListDelta, x.listing)
+		if x.Revision < l.revision {
+			l.Log(fmt.Sprintf("discovery: began anew at revision %d after %d", x.Revision, l.revision))
+			if !x.Complete { // it says what changed, of a list that is not held: the next call gets all of it
+				x.Revision = 0
+			}
+		}
+		l.heardAt, l.older = max(l.heardAt, x.ended), false
+		l.stopFormer()
+		l.stopFormer = func() {}
+		l.members(mode, x.listing)
+		l.discovery.revision.Store(l.revision)
 	}
 	l.settle()
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -606,6 +606,57 @@
 	want(t, "requests at the new one's upstream", len(two.arrivals), 1)
 }
 
+// What the old discovery tells counts until the new one has said what is so: an answer that was on its way as the
+// configuration was read anew once went unheard, and a draining upstream got requests until the new one answered.
+func TestOldDiscoveryCountsUntilTheNewOneAnswers(t *testing.T) {
+	one, two := newServer(t, okAll), newServer(t, okAll)
+	m1, m2 := up("s-00000001", one), up("s-00000002", two)
+	b := newBalancer(t, m1, m2)
+	<-b.registry.calls
+	next := newRegistry(t)
+	b.moves <- next.addr
+	want(t, "first call", <-next.calls, watchQuery(0)) // it waits
+	b.registry.answers <- listing{Revision: 12, Members: []member{draining(m1)}}
+	state := func(is sprucehill.State) func(l *loop) bool {
+		return func(l *loop) bool { return l.peers[1].state == is }
+	}
+	b.await(t, "the old one's drain is taken", state(sprucehill.Draining))
+	<-b.registry.calls // it goes on
+	next.answers <- listing{Revision: 3, Complete: true, Members: []member{m1, m2}}
+	want(t, "next call", <-next.calls, watchQuery(3))
+	b.await(t, "the new one's list is taken", state(sprucehill.Active))
+	select { // its watch has ended, or else its answer is not taken
+	case b.registry.answers <- listing{Revision: 13, Members: []member{draining(m1)}}:
+	case <-time.After(10 * watchPause):
+	}
+	b.inLoop(t, func(l *loop) { want(t, "state at the end", l.peers[1].state, sprucehill.Active) })
+}
+
+// An agent that began anew at its address counts from the beginning. All that it said was passed over for ever, as older
+// than what it had said before; one answer that is out of date still changes nothing.
+func TestAgentThatBeganAnewIsHeard(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		t.Run(fmt.Sprintf("whole list %v", complete), func(t *testing.T) {
+			one, two := newServer(t, okAll), newServer(t, okAll)
+			m1, m2 := up("s-00000001", one), up("s-00000002", two)
+			b := newBalancer(t, m1, m2)
+			<-b.registry.calls
+			b.registry.answers <- listing{Revision: 12, Complete: true, Members: []member{m1, m2}}
+			want(t, "second call", <-b.registry.calls, watchQuery(12))
+			anew := listing{Revision: 3, Complete: complete, Members: []member{draining(m1), m2}}
+			b.registry.answers <- anew
+			want(t, "third call", <-b.registry.calls, watchQuery(12))
+			b.registry.answers <- anew
+			since := 0 // what changed says nothing of the rest
+			if complete {
+				since = 3
+			}
+			want(t, "fourth call", <-b.registry.calls, watchQuery(since))
+			b.inLoop(t, func(l *loop) { want(t, "state", l.peers[1].state, sprucehill.Draining) })
+		})
+	}
+}
+
 // What an agent has to tell counts as told 2 s after the wait of a call, also where the agent has gone silent. The
 // silence was noticed a second after that: until then a draining upstream would have got requests.
 func TestSilentDiscoveryIsAskedAgain(t *testing.T) {
