Close no client's connection under a request that has begun, and answer before the kill

Causes: (1) net/http calls a connection idle or new until a whole head has been read, so Shutdown, drains and making room closed it while a head came in pieces; (2) a request that came late after SIGTERM had its whole deadline, beyond the soonest SIGKILL (longest deadline, 3 s at most, + 0.7 s), where it is lost; (3) an answer begun before SIGTERM kept its connection. Change: framedConn tells when a request has begun and not been answered, and only what rests is closed; stop closes what rests by itself in place of Shutdown, after the last accept has been counted, and answers still passed on have 10 s more; a request later than 0.6 s after SIGTERM has until 0.1 s before the kill.

--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,15 @@
 	headAt time.Duration // when the present request began to come, the first with its connection
 	scan   scanner
 	err    error
+	midway atomic.Bool  // a request has begun to come, or has come and is not answered
+	served atomic.Int64 // heads that came with requests that have been answered
+	heads  atomic.Int64 // heads that have come whole
+}
+
+// answered notes that what has come is answered.
+func (c *framedConn) answered() {
+	c.served.Store(c.heads.Load())
+	c.midway.Store(false)
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
@@ -56,7 +66,12 @@
 	if n > 0 && c.scan.fresh() && c.scan.heads > 0 {
 		c.headAt = c.now()
 	}
-	if good, bad := c.scan.feed(p[:n]); bad != nil {
+	good, bad := c.scan.feed(p[:n])
+	c.heads.Store(int64(c.scan.heads))
+	if !c.scan.fresh() || c.heads.Load() > c.served.Load() {
+		c.midway.Store(true)
+	}
+	if bad != nil {
 		if c.err = bad; good > 0 {
 			return good, nil
 		}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -25,6 +25,14 @@
 	lameDuck = 450 * time.Millisecond
 	// firstBytes is how long the last connection taken then has for beginning its request.
 	firstBytes = 50 * time.Millisecond
+	// killed is when SIGKILL follows SIGTERM at the soonest, by the platform's word: after the longest deadline, which counts
+	// as killCounts where it is longer, and this. What came later than this after SIGTERM must be answered by then, and is
+	// killMargin sooner.
+	killed     = 700 * time.Millisecond
+	killCounts = 3 * time.Second
+	killMargin = 100 * time.Millisecond
+	// stopSweep is how often a balancer that ends looks for connections to close.
+	stopSweep = 10 * time.Millisecond
 	// slowClient bounds how long a peer may take over a request, silence before the first included: one that sends
 	// none is owed a close within 3 s of connecting.
 	slowClient = 2500 * time.Millisecond
@@ -56,6 +64,7 @@
 	classes  map[string]sprucehill.Class
 	post     func(event)
 	leaving  atomic.Bool
+	toldAt   atomic.Int64 // when it was told to end, a time.Duration on the loop's clock
 	draining atomic.Bool
 	adopted  bool // the listener is held by the platform
 	maxOpen  int
@@ -63,6 +72,7 @@
 	now      func() time.Duration
 	serving  http.Server
 	listener net.Listener
+	ended    chan struct{} // closed once no more connections are taken
 	mu       sync.Mutex
 	conns    map[net.Conn]clientConn
 	undrain  context.CancelFunc // ends the closing of idle connections; nil: not draining
@@ -77,7 +87,7 @@
 func newFrontend(c *Config, l net.Listener, to *loop) *frontend {
 	f := &frontend{life: to.ctx, figures: to.figures, held: to.dial.held, classes: map[string]sprucehill.Class{},
 		post: to.post, listener: framedListener{l, to.now}, longest: c.longest(), maxOpen: c.clientConns(),
-		adopted: c.Adopts(), now: to.now, conns: map[net.Conn]clientConn{}}
+		adopted: c.Adopts(), now: to.now, conns: map[net.Conn]clientConn{}, ended: make(chan struct{})}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
@@ -96,12 +106,15 @@
 		return
 	}
 	f.conns[c] = clientConn{s, f.now()}
+	if framed, ok := c.(*framedConn); ok && s == http.StateIdle {
+		framed.answered()
+	}
 	if s != http.StateNew || len(f.conns) <= f.maxOpen {
 		return
 	}
 	victim, since := c, f.now()-restful
 	for other, is := range f.conns {
-		if is.state != http.StateActive && is.since <= since {
+		if is.since <= since && is.rests(other) {
 			victim, since = other, is.since
 		}
 	}
@@ -109,6 +122,13 @@
 	victim.Close()
 }
 
+// rests tells whether a connection is between requests: no byte of the next one has been read. Closing it takes nothing
+// from a client but a request that has not been read, which it sends again.
+func (is clientConn) rests(c net.Conn) bool {
+	framed, ok := c.(*framedConn)
+	return is.state != http.StateActive && !(ok && framed.midway.Load())
+}
+
 // crowded tells whether connections are so many that each should close after its answer.
 func (f *frontend) crowded() bool {
 	f.mu.Lock()
@@ -158,26 +178,23 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	for c, is := range f.conns {
-		if is.state == http.StateIdle || (is.state == http.StateNew && now-is.since >= silent) {
+		if is.rests(c) && (is.state == http.StateIdle || now-is.since >= silent) {
 			c.Close()
 		}
 	}
 }
 
-// closeUnused closes the connections that have sent nothing. Shutdown would wait for them.
-func (f *frontend) closeUnused() {
+// open is how many client connections there are.
+func (f *frontend) open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, is := range f.conns {
-		if is.state == http.StateNew {
-			c.Close()
-		}
-	}
+	return len(f.conns)
 }
 
 // serve takes connections until stop has been called.
 func (f *frontend) serve() error {
-	if err := f.serving.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
+	defer close(f.ended)
+	if err := f.serving.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return nil
@@ -187,21 +204,40 @@
 // listener and idle connections are closed, and what has been taken is answered. A listener that was handed down is
 // left at once.
 func (f *frontend) stop() {
+	f.toldAt.Store(int64(f.now()))
 	f.leaving.Store(true)
 	if f.adopted {
 		f.listener.Close() // what waits in its queue, and what still comes, is for the process that follows
 		f.post(leave{})
 	}
 	time.Sleep(lameDuck)
-	time.AfterFunc(firstBytes, f.closeUnused)
-	ctx, cancel := context.WithTimeout(context.Background(), f.longest+lameDuck)
-	defer cancel()
-	if err := f.serving.Shutdown(ctx); err != nil {
-		f.serving.Close() // only requests that never came whole are left
-		slog.Warn("closing client connections", "err", err)
+	f.listener.Close()
+	<-f.ended // the last connection counts among the open ones
+	// http.Server.Shutdown closes a kept connection also while its next request comes in pieces.
+	limit, sweep := time.After(f.longest+slowAnswer), time.NewTicker(stopSweep)
+	defer sweep.Stop()
+	for f.open() > 0 {
+		f.closeIdle(firstBytes)
+		select {
+		case <-sweep.C:
+		case <-limit:
+			slog.Warn("closing client connections", "open", f.open())
+			f.serving.Close()
+			return
+		}
 	}
 }
 
+// beforeKill is how long a request that came at may still take where the process has been told to end; most: it has not,
+// or the request came soon enough after that to be left to SIGKILL.
+func (f *frontend) beforeKill(at, most time.Duration) time.Duration {
+	told := time.Duration(f.toldAt.Load())
+	if !f.leaving.Load() || at < told+killed-killMargin {
+		return most
+	}
+	return max(0, told+min(f.longest, killCounts)+killed-killMargin-at)
+}
+
 // ServeHTTP answers a request.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// What is closed after its answer can't be in use when the listener goes; and where connections are many, new
@@ -307,6 +343,9 @@
 // write gives a client its answer. One that is passed on as it comes may break off, or its client may leave.
 func (f *frontend) write(w http.ResponseWriter, r *http.Request, a answer) (whole, left bool) {
 	h := w.Header()
+	if f.leaving.Load() { // since the request came, too
+		h.Set("Connection", "close")
+	}
 	if a.kind != "" {
 		h.Set("Content-Type", a.kind)
 	} else {
@@ -467,7 +506,7 @@
 	if ms, err := strconv.ParseInt(h.Get("X-Deadline-Ms"), 10, 32); err == nil && ms >= 0 {
 		q.Budget = min(q.Budget, time.Duration(ms)*time.Millisecond)
 	}
-	q.Budget = max(0, q.Budget-answerMargin)
+	q.Budget = max(0, min(q.Budget-answerMargin, f.beforeKill(at, q.Budget)))
 	if cost, err := strconv.ParseInt(h.Get("X-Cost-Hint"), 10, 32); err == nil && cost > 0 {
 		q.Cost = time.Duration(cost) * time.Microsecond
 	}
