Lean to no zone where a balancer uses few of many upstreams

Cause: 300 balancers of 200 upstreams use 3 each, of which two are at home and get 92%: one that is replaced or hangs is half of that. Test: of lean it was seen to fail without; the ring it does not see.

--- a/balancer.go
+++ b/balancer.go
@@ -684,6 +684,7 @@
 	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
 	n, all := float64(len(ring)), float64(b.fleet.Balancers)
 	want := max(1, min(n, max(subsetLeast, math.Ceil(n*sharers/max(sharers, all-sharers)))))
+	b.few = want < min(n, homeFew)
 	b.start = boundStart * max(n, 1) / want / float64(b.fleet.Most)
 	_, at := math.Modf(float64(b.fleet.Rank) * math.Phi)
 	good, chosen := 0.0, map[*upstream]bool{}
--- a/state.go
+++ b/state.go
@@ -88,6 +88,7 @@
 	zones                   []*zone     // in order of arrival
 	home                    *zone       // its own, once the first list has come
 	stay, keep              float64     // parts of the traffic that stay in the zone, and in the region; 0: not begun
+	few                     bool        // it uses so few of them that locality would leave all to chance
 	near                    []*upstream // the subset, and what left it with attempts still out
 	held                    []*request  // by worth, then newest first
 	turn                    float64     // virtual time of the interleave
--- a/zones.go
+++ b/zones.go
@@ -15,6 +15,7 @@
 
 // Constants of locality. Those without a unit are ratios.
 const (
+	homeFew    = 8              // upstreams used of more, under which home is one or two: one that drains is half of it
 	homeMost   = 0.92           // of the traffic stays home at most: with less than the rest, readings from elsewhere grow old
 	homeMargin = 1.05           // use of home, and of the region, over the fleet's that is still no reason to leave,
 	homeNoise  = 0.02           // and this much more, of full use
@@ -122,7 +123,7 @@
 	inRegion := func(z *zone) bool { return z.region == home.region }
 	all, use, read := b.within(func(*zone) bool { return true })
 	region, regionUse, regionRead := b.within(inRegion)
-	if home.size == 0 || home.size == all { // nobody at home, or nowhere else: shares alone decide
+	if home.size == 0 || home.size == all || b.few { // nobody at home, or nowhere else: shares alone decide
 		for _, z := range b.zones {
 			z.tilt = 1
 		}
@@ -236,7 +237,7 @@
 			others = append(others, u)
 		}
 	}
-	if len(own) == 0 || len(others) == 0 || int(want) >= len(ring) {
+	if len(own) == 0 || len(others) == 0 || int(want) >= len(ring) || b.few {
 		return turned(ring, place)
 	}
 	part := want * float64(len(own)*len(zones)) / float64(len(ring))
--- a/zones_test.go
+++ b/zones_test.go
@@ -471,3 +471,30 @@
 		}
 	})
 }
+
+// A balancer that uses few of many upstreams has one or two at home. Nine parts in ten of its traffic went there, and where
+// one of them drained or was cold all of that waited on the other. Such a balancer goes by shares alone; one that uses all
+// of its upstreams, or enough, leans to its zone.
+func TestFewUpstreamsAreNotLeantOn(t *testing.T) {
+	for _, x := range []struct {
+		upstreams, balancers int
+		leans                bool
+	}{{4, 1, true}, {200, 300, false}, {200, 60, true}} {
+		s := settings()
+		s.Zone, s.Balancers = "a", x.balancers
+		list := fleet(x.upstreams)
+		for i := range list {
+			list[i].Zone = []string{"a", "b", "c", "d"}[i%4]
+		}
+		b, _ := start(t, s, list)
+		home, used := 0, 0
+		for _, u := range b.near {
+			if used++; u.Zone == "a" {
+				home++
+			}
+		}
+		if leans := b.stay > 0; leans != x.leans || used == 0 {
+			t.Errorf("%d balancers of %d upstreams: uses %d, %d at home, %.2f stay, want leaning %v", x.balancers, x.upstreams, used, home, b.stay, x.leans)
+		}
+	}
+}
