Send nothing on that is read as its resting connection is closed

Cause: the frontend looked whether a connection rests and then closed it, while its reader may have taken bytes from the network and not noted them yet (framedConn.Read returned, midway was set after). The request was parsed, sent on and its answer could not be written, while its client sends it again. Ruled out: closes that net/http does by itself (their reader is the closer). Change: noting what was read and closing exclude each other; bytes read after a close go no further, and requests are counted one by one, so that a second one already read keeps its connection from being one at rest. Test: a read held back after the network gave its bytes, both orders, kept and new connections.

--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -7,7 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: c, now: l.now, headAt: l.now()}, nil
+	return &framedConn{Conn: c, now: l.now, headAt: l.now(), fresh: true}, nil
 }
 
 // framedConn is a client's connection. A head in doubt is not passed on whole: its reader gets an error instead.
@@ -47,15 +47,40 @@
 	headAt time.Duration // when the present request began to come, the first with its connection
 	scan   scanner
 	err    error
-	midway atomic.Bool  // a request has begun to come, or has come and is not answered
-	served atomic.Int64 // heads that came with requests that have been answered
-	heads  atomic.Int64 // heads that have come whole
+
+	mu     sync.Mutex
+	shut   bool // closed between requests: what is read at that very moment goes no further
+	fresh  bool // no part of a request has come beyond the whole ones
+	wholes int  // requests that have come whole
+	served int  // requests that have been answered
 }
 
-// answered notes that what has come is answered.
+// answered notes that the present request is answered.
 func (c *framedConn) answered() {
-	c.served.Store(c.heads.Load())
-	c.midway.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served++
+}
+
+// rests tells whether the connection is between requests: no byte has been read of one that is not answered.
+func (c *framedConn) rests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh && c.wholes == c.served
+}
+
+// closeResting closes the connection if it is between requests, and tells whether it was. Its client then sends again
+// what crosses that, so it must not be sent on as well: bytes that have been taken from the network but not been noted
+// as the connection is closed are given to nobody.
+func (c *framedConn) closeResting() bool {
+	c.mu.Lock()
+	c.shut = c.shut || (c.fresh && c.wholes == c.served)
+	shut := c.shut
+	c.mu.Unlock()
+	if shut {
+		c.Conn.Close()
+	}
+	return shut
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
@@ -63,14 +88,16 @@
 		return 0, c.err
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.scan.fresh() && c.scan.heads > 0 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		return 0, net.ErrClosed
+	}
+	if n > 0 && c.fresh && c.scan.heads > 0 {
 		c.headAt = c.now()
 	}
 	good, bad := c.scan.feed(p[:n])
-	c.heads.Store(int64(c.scan.heads))
-	if !c.scan.fresh() || c.heads.Load() > c.served.Load() {
-		c.midway.Store(true)
-	}
+	c.fresh, c.wholes = c.scan.fresh(), c.scan.wholes
 	if bad != nil {
 		if c.err = bad; good > 0 {
 			return good, nil
@@ -110,6 +137,7 @@
 	codings []string
 	left    int64 // bytes still to come of the body or chunk
 	heads   int   // whole heads so far
+	wholes  int   // whole requests so far
 }
 
 // fresh tells whether nothing of the next head has come.
@@ -148,8 +176,9 @@
 	return len(p), nil
 }
 
-// next begins another head.
+// next begins another head: a request has come whole.
 func (s *scanner) next() {
+	s.wholes++
 	s.state, s.lines, s.lengths, s.codings = inHead, 0, nil, nil
 }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -74,7 +74,7 @@
 	listener net.Listener
 	ended    chan struct{} // closed once no more connections are taken
 	mu       sync.Mutex
-	conns    map[net.Conn]clientConn
+	conns    map[*framedConn]clientConn
 	undrain  context.CancelFunc // ends the closing of idle connections; nil: not draining
 }
 
@@ -87,7 +87,7 @@
 func newFrontend(c *Config, l net.Listener, to *loop) *frontend {
 	f := &frontend{life: to.ctx, figures: to.figures, held: to.dial.held, classes: map[string]sprucehill.Class{},
 		post: to.post, listener: framedListener{l, to.now}, longest: c.longest(), maxOpen: c.clientConns(),
-		adopted: c.Adopts(), now: to.now, conns: map[net.Conn]clientConn{}, ended: make(chan struct{})}
+		adopted: c.Adopts(), now: to.now, conns: map[*framedConn]clientConn{}, ended: make(chan struct{})}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
@@ -98,7 +98,8 @@
 
 // count keeps track of client connections. One too many makes room by closing the one that has been without a request
 // for longest, or is closed itself: descriptors must not run out.
-func (f *frontend) count(c net.Conn, s http.ConnState) {
+func (f *frontend) count(conn net.Conn, s http.ConnState) {
+	c := conn.(*framedConn) // all come from a framedListener
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
@@ -106,27 +107,23 @@
 		return
 	}
 	f.conns[c] = clientConn{s, f.now()}
-	if framed, ok := c.(*framedConn); ok && s == http.StateIdle {
-		framed.answered()
+	if s == http.StateIdle {
+		c.answered()
 	}
 	if s != http.StateNew || len(f.conns) <= f.maxOpen {
 		return
 	}
 	victim, since := c, f.now()-restful
 	for other, is := range f.conns {
-		if is.since <= since && is.rests(other) {
+		if is.since <= since && other.rests() {
 			victim, since = other, is.since
 		}
 	}
+	if !victim.closeResting() { // a request has just begun
+		victim = c
+		c.Close()
+	}
 	delete(f.conns, victim) // it is reported as closed only once its goroutine has seen it
-	victim.Close()
-}
-
-// rests tells whether a connection is between requests: no byte of the next one has been read. Closing it takes nothing
-// from a client but a request that has not been read, which it sends again.
-func (is clientConn) rests(c net.Conn) bool {
-	framed, ok := c.(*framedConn)
-	return is.state != http.StateActive && !(ok && framed.midway.Load())
 }
 
 // crowded tells whether connections are so many that each should close after its answer.
@@ -178,8 +175,8 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	for c, is := range f.conns {
-		if is.rests(c) && (is.state == http.StateIdle || now-is.since >= silent) {
-			c.Close()
+		if is.state == http.StateIdle || now-is.since >= silent {
+			c.closeResting()
 		}
 	}
 }
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -53,9 +53,17 @@
 	open := func(s http.ConnState) net.Conn {
 		c, peer := net.Pipe()
 		t.Cleanup(func() { c.Close(); peer.Close() })
-		f.count(c, http.StateNew)
-		if s != http.StateNew {
-			f.count(c, s)
+		framed := &framedConn{Conn: c, now: f.now, fresh: true}
+		f.count(framed, http.StateNew)
+		if s == http.StateNew {
+			return c
+		}
+		go io.WriteString(peer, "GET / HTTP/1.1\r\n\r\n")
+		if _, err := io.ReadFull(framed, make([]byte, 18)); err != nil {
+			return c // it was closed itself
+		}
+		if f.count(framed, http.StateActive); s == http.StateIdle {
+			f.count(framed, s)
 		}
 		return c
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -179,6 +179,12 @@
 
 // newBalancerWith starts a balancer of a discovery, with whatever change does to its configuration.
 func newBalancerWith(t testing.TB, g *registry, change func(*Config), members ...member) *balancer {
+	t.Helper()
+	return newBalancerOn(t, g, func(l net.Listener) net.Listener { return l }, change, members...)
+}
+
+// newBalancerOn starts one whose clients come through what listen makes of its listener.
+func newBalancerOn(t testing.TB, g *registry, listen func(net.Listener) net.Listener, change func(*Config), members ...member) *balancer {
 	t.Helper()
 	f := file{Name: "n0", Listen: "127.0.0.1:0", Discovery: g.addr, Seed: "8c1f30d27a5be964",
 		Known: listing{Revision: 10, Complete: true, Members: members}, Settings: json.RawMessage(settingsText)}
@@ -195,7 +201,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), moves: make(chan string),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
-	b.proxy = New(c, l)
+	b.proxy = New(c, listen(l))
 	go func() { b.ended <- b.proxy.Run(ctx, b.moves) }()
 	t.Cleanup(func() {
 		b.client.CloseIdleConnections()
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -44,7 +46,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, is := range f.conns {
-		if is.state == http.StateIdle && !is.rests(c) {
+		if is.state == http.StateIdle && !c.rests() {
 			return true
 		}
 	}
@@ -106,7 +108,7 @@
 	other, peer := net.Pipe()
 	defer other.Close()
 	defer peer.Close()
-	f.count(other, http.StateNew) // one too many: it is closed itself
+	f.count(&framedConn{Conn: other, now: f.now, fresh: true}, http.StateNew) // one too many: it is closed itself
 	if _, err := peer.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the new connection: %v, want its end", err)
 	}
@@ -143,3 +145,88 @@
 	}
 	want(t, "too late to be sent", resp.StatusCode, http.StatusServiceUnavailable)
 }
+
+// reads is a listener of whose connections one read can be held back after its bytes have been taken from the network.
+type reads struct {
+	net.Listener
+	armed atomic.Bool
+	taken chan struct{} // the bytes have been taken
+	back  chan struct{} // closed: the reader gets them
+}
+
+func (r *reads) Accept() (net.Conn, error) {
+	c, err := r.Listener.Accept()
+	return &readsConn{c, r}, err
+}
+
+type readsConn struct {
+	net.Conn
+	*reads
+}
+
+func (c *readsConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.armed.CompareAndSwap(true, false) {
+		c.taken <- struct{}{}
+		<-c.back
+	}
+	return n, err
+}
+
+// A request comes in the very moment in which its resting connection is closed. Either it was there first, and the
+// connection stays and it is answered; or the connection was, and the request, which its client sends again, is not sent
+// on. It was, where its bytes had been taken from the network but not been looked at.
+func TestRequestThatCrossesACloseIsNotSent(t *testing.T) {
+	for _, first := range []string{"close", "request"} {
+		for _, fresh := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s first, new connection %v", first, fresh), func(t *testing.T) {
+				s := newServer(t, okAll)
+				r := &reads{taken: make(chan struct{}), back: make(chan struct{})}
+				b := newBalancerOn(t, newRegistry(t), func(l net.Listener) net.Listener { r.Listener = l; return r },
+					func(*Config) {}, up("s-00000001", s))
+				c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(30 * time.Second)) // only a failure takes as long
+				in := bufio.NewReader(c)
+				ask := func() {
+					if err := b.ask("checkin", "").Write(c); err != nil {
+						t.Fatal(err)
+					}
+				}
+				sent := 0
+				if !fresh {
+					ask()
+					begun{Conn: c, in: in}.answer(t, 200)
+					sent++
+				}
+				f := b.proxy.front
+				r.armed.Store(true)
+				ask()
+				<-r.taken
+				if first == "close" {
+					f.closeIdle(0)
+				}
+				close(r.back)
+				if first == "close" {
+					if _, err := in.ReadByte(); err == nil {
+						t.Error("an answer on a connection that was closed")
+					}
+				} else {
+					begun{Conn: c, in: in}.answer(t, 200)
+					sent++
+				}
+				for limit := time.Now().Add(30 * time.Second); f.open() > 0; time.Sleep(time.Millisecond) {
+					f.closeIdle(0)
+					if time.Now().After(limit) {
+						t.Fatal("the connection stays open")
+					}
+				}
+				b.settled(t)
+				want(t, "requests at the upstream", len(s.arrivals), sent)
+			})
+		}
+	}
+}
