See a client leave behind bytes that nobody reads, and none leave that does not

Cause: net/http looks for a client's leave by reading one byte behind its request. Once it has got one it looks no more, so a client that sends on and goes was waited for, and its request sent on when a connection came up; and where that byte shows a head in doubt, framedConn's error was taken for a leave, and the request before it lost its answer. Ruled out: bytes that come in one piece with the request (net/http reads on behind its buffer). Change: while a request waits, what follows it is read ahead: 4 KiB are kept, more ends the connection after the answer, up to 16 MiB are looked through for the end. Tests: six kinds of bytes, in one piece or later, then a close: no answer is written and nothing sent on.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,6 +15,9 @@
 // Add counts one more.
 func (c *Counter) Add() { c.n.Add(1) }
 
+// Value is the count.
+func (c *Counter) Value() int { return int(c.n.Load()) }
+
 // Gauge is how many there are now.
 type Gauge struct{ n atomic.Int64 }
 
--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -48,11 +48,13 @@
 	scan   scanner
 	err    error
 
-	mu     sync.Mutex
-	shut   bool // closed between requests: what is read at that very moment goes no further
-	fresh  bool // no part of a request has come beyond the whole ones
-	wholes int  // requests that have come whole
-	served int  // requests that have been answered
+	mu        sync.Mutex
+	misframed bool // err is set
+	shut      bool // closed between requests: what is read at that very moment goes no further
+	fresh     bool // no part of a request has come beyond the whole ones
+	wholes    int  // requests that have come whole
+	served    int  // requests that have been answered
+	ahead
 }
 
 // answered notes that the present request is answered.
@@ -60,6 +62,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served++
+	c.behind = false
 }
 
 // rests tells whether the connection is between requests: no byte has been read of one that is not answered.
@@ -87,18 +90,28 @@
 	if c.err != nil {
 		return 0, c.err
 	}
-	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	behind := c.wholes > c.served // the present request has come: what reads now only looks for its client's leave
+	n, err, kept := c.take(p)
+	c.mu.Unlock()
+	if !kept {
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.shut {
 		return 0, net.ErrClosed
 	}
+	if c.behind = c.behind || (behind && n > 0); c.behind {
+		c.look()
+	}
 	if n > 0 && c.fresh && c.scan.heads > 0 {
 		c.headAt = c.now()
 	}
 	good, bad := c.scan.feed(p[:n])
 	c.fresh, c.wholes = c.scan.fresh(), c.scan.wholes
 	if bad != nil {
+		c.misframed = true
 		if c.err = bad; good > 0 {
 			return good, nil
 		}
@@ -107,6 +120,14 @@
 	return n, err
 }
 
+// leaves tells whether the end that net/http sees in reading is that of the client, and not what is wrong with what comes
+// behind its request.
+func (c *framedConn) leaves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.misframed
+}
+
 // CloseWrite lets net/http close a connection without taking the last answer away from a client that still sends.
 func (c *framedConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -273,24 +273,45 @@
 			f.figures.inProgress.Add(-1)
 		}
 	}()
+	conn := r.Context().Value(connKey{}).(*framedConn)
+	departed := make(chan struct{})
+	conn.follow(sync.OnceFunc(func() { close(departed) }))
+	defer conn.unfollow()
+	left := r.Context().Done() // also where its body did not come
 	f.post(arrived{q})
-	select {
-	case a := <-q.reply:
-		defer f.held.give(cap(a.body))
-		if q.Upload && !body.taken.Load() { // what is left of its body is not read
-			w.Header().Set("Connection", "close")
-		}
-		whole, left := f.write(w, r, a)
-		if !left {
-			f.figures.answered(q.Class, a.status, whole)
-		}
-		if !whole {
-			panic(http.ErrAbortHandler) // the connection breaks, so the client can tell
+	for {
+		select {
+		case a := <-q.reply:
+			f.reply(w, r, q, body, a)
+			return
+		case <-left:
+			if conn.leaves() {
+				f.gone(w, q, body)
+				return
+			}
+			left = nil // what comes behind the request is improper; it is answered all the same
+		case <-departed:
+			f.gone(w, q, body)
+			return
+		case <-body.broken:
+			f.gone(w, q, body)
+			return
 		}
-	case <-r.Context().Done(): // the client has closed its connection, or its body did not come
-		f.gone(w, q, body)
-	case <-body.broken:
-		f.gone(w, q, body)
+	}
+}
+
+// reply passes on the loop's answer.
+func (f *frontend) reply(w http.ResponseWriter, r *http.Request, q *request, body *upload, a answer) {
+	defer f.held.give(cap(a.body))
+	if q.Upload && !body.taken.Load() { // what is left of its body is not read
+		w.Header().Set("Connection", "close")
+	}
+	whole, left := f.write(w, r, a)
+	if !left {
+		f.figures.answered(q.Class, a.status, whole)
+	}
+	if !whole {
+		panic(http.ErrAbortHandler) // the connection breaks, so the client can tell
 	}
 }
 
@@ -359,7 +380,11 @@
 		w.Write(a.body) // if it fails the client has gone, and can tell that the answer is not whole
 		return true, false
 	}
-	unhook := context.AfterFunc(r.Context(), func() { a.more.conn.SetReadDeadline(time.Unix(0, 1)) })
+	unhook := context.AfterFunc(r.Context(), func() {
+		if r.Context().Value(connKey{}).(*framedConn).leaves() {
+			a.more.conn.SetReadDeadline(time.Unix(0, 1))
+		}
+	})
 	defer func() {
 		unhook()
 		f.post(passed{a.more.peer, a.more.end(whole)})
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -258,3 +259,99 @@
 		})
 	}
 }
+
+// ended is how many requests of a class have got an answer, of whatever kind.
+func (f *figures) ended(class string) int {
+	o := f.classes[class]
+	return o.passed.Value() + o.dropped.Value() + o.badGateway.Value()
+}
+
+// A client's leave is seen behind bytes that nobody reads while its request waits: part of a next request, in one piece with
+// the first or later, a whole one, or more than is kept. Where it was not, the request was sent on when its connection
+// came up.
+func TestLeaveBehindUnreadBytesIsSeen(t *testing.T) {
+	part := "GET /read/y HTTP/1.1\r\nHost: x\r\n"
+	for name, behind := range map[string]string{"a byte": "G", "part of a head": part, "a whole one": part + "\r\n",
+		"many": strings.Repeat(part+"\r\n", 200), "much": strings.Repeat("x", 3<<20), "no head": "\r\n\r\n\x00"} {
+		for _, once := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, in one piece %v", name, once), func(t *testing.T) {
+				s, g := newServer(t, okAll), newGate(t)
+				b := newBalancerWith(t, newRegistry(t), func(c *Config) { c.open = g.open }, up("s-00000001", s))
+				with := behind[:min(len(behind), 1000)]
+				if !once {
+					with = ""
+				}
+				c := b.raw(t, "pay", "", with)
+				g.next(t) // the request has been taken
+				if _, err := io.WriteString(c, behind[len(with):]); err != nil {
+					t.Fatal(err)
+				}
+				c.Close()
+				b.leaveTaken(t)
+				want(t, "answers", b.proxy.loop.figures.ended("pay"), 0)
+				g.lift()
+				b.settled(t)
+				want(t, "requests at the upstream", len(s.arrivals), 0)
+				b.closed(t)
+			})
+		}
+	}
+}
+
+// closed waits until no client's connection is open any more.
+func (b *balancer) closed(t *testing.T) {
+	t.Helper()
+	for limit := time.Now().Add(30 * time.Second); b.proxy.front.open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("a client's connection stays open")
+		}
+	}
+}
+
+// What comes behind a request that waits is neither lost nor looked at too soon: whole requests are answered in their turn,
+// up to what is kept; what is improper ends the connection after the answer that is owed.
+func TestRequestsBehindOneThatWaits(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		behind func(b *balancer) string
+		served int
+	}{
+		{"three more", func(b *balancer) string {
+			var all bytes.Buffer
+			for range 3 {
+				b.ask("read", "").Write(&all)
+			}
+			return all.String()
+		}, 4},
+		{"too much", func(b *balancer) string { return strings.Repeat("x", 2*aheadKept) }, 1},
+		{"a length and chunks", func(b *balancer) string {
+			return "POST /pay/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+		}, 1},
+	} {
+		for _, cut := range []int{0, 1, 40, 1 << 20} { // what comes in one piece with the first, before it has been read
+			t.Run(fmt.Sprintf("%s, cut at %d", x.name, cut), func(t *testing.T) {
+				s, g := newServer(t, okAll), newGate(t)
+				b := newBalancerWith(t, newRegistry(t), func(c *Config) { c.open = g.open }, up("s-00000001", s))
+				behind := x.behind(b)
+				cut := min(cut, len(behind)-1) // the last byte comes later: it is read by whoever looks for a leave
+				c := b.raw(t, "read", "", behind[:cut])
+				g.next(t)
+				for i := cut; i < len(behind); i += 7000 {
+					if _, err := io.WriteString(c, behind[i:min(len(behind), i+7000)]); err != nil {
+						t.Fatal(err)
+					}
+				}
+				g.lift()
+				in := bufio.NewReader(c)
+				for range x.served {
+					begun{Conn: c, in: in}.answer(t, 200)
+				}
+				c.(*net.TCPConn).CloseWrite()
+				io.Copy(io.Discard, in) // its end
+				b.settled(t)
+				b.closed(t)
+				want(t, "requests at the upstream", len(s.arrivals), x.served)
+			})
+		}
+	}
+}
