Send no repeat whose connection comes up after its upstreams' memory has ended

Cause: maySend looks at the memory of a keyed class when it asks for an attempt, but that may wait for its connection up to connect_timeout; dialer.run wrote it whenever that came up, beyond memory_span from the first attempt that may have run: the effect may be had twice. Ruled out: the first attempt's own wait (the module counts from before it). Change: claim, which takes an attempt for writing, looks at what has been written before it and may have run. Tests with the second connection held back by a gate: in time, too late, too late where nothing has run; and two attempts in either order. Without: 2 requests at the upstream where 1 is allowed.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -514,6 +514,9 @@
 	}
 	q := &request{at: at, reply: make(chan answer, 1),
 		message: message{line: r.Method + " " + originForm(r.RequestURI), header: h, host: r.Host, body: body}}
+	if class.Repeat == sprucehill.Keyed {
+		q.window.span = class.Memory
+	}
 	if more {
 		if err := u.control.EnableFullDuplex(); err != nil {
 			f.held.give(cap(body))
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -355,3 +355,74 @@
 		}
 	}
 }
+
+// A keyed request that may have run is repeated only for as long as its upstreams throw repeats away. The module asks for a
+// repeat in time, but its connection may come up later; then it was sent all the same. Where nothing may have run, nothing
+// is bound.
+func TestRepeatIsNotSentAfterItsTime(t *testing.T) {
+	for _, x := range []struct {
+		name, memory string
+		mayHaveRun   bool
+		sent         int // in all
+	}{
+		{"up in time", `"memory_span_us":9000000`, true, 2},
+		{"up too late", `"memory_span_us":700000`, true, 1},
+		{"up late, but nothing has run", `"memory_span_us":700000`, false, 2},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			first := true // one connection at a time
+			s := newServer(t, func(c net.Conn, r *http.Request) bool {
+				if !first {
+					return okAll(c, r)
+				}
+				if first = false; !x.mayHaveRun {
+					io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+				}
+				return false
+			})
+			g := newGate(t)
+			b := newBalancerWith(t, newRegistry(t), func(c *Config) {
+				with(t, `"memory_span_us":9000000`, x.memory)(c)
+				c.open = g.open
+			}, up("s-00000001", s))
+			c := b.raw(t, "pay", "", "")
+			close(g.next(t).up)
+			second := g.next(t)
+			b.await(t, "the short time is over", func(l *loop) bool {
+				for _, r := range l.requests {
+					return l.now() >= r.at+700*time.Millisecond
+				}
+				return true
+			})
+			close(second.up)
+			in := bufio.NewReader(c)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want(t, "served", resp.StatusCode == 200, x.sent == 2)
+			c.Close()
+			b.settled(t)
+			want(t, "requests at the upstream", len(s.arrivals), x.sent)
+		})
+	}
+}
+
+// Two attempts of a request, in either order: the one that is written later is bound by the one before, unless that has
+// certainly not run.
+func TestAttemptIsBoundByTheOneWrittenBefore(t *testing.T) {
+	const span = time.Second
+	for _, never := range []bool{false, true} {
+		for _, after := range []time.Duration{span - 1, span} {
+			r := &request{}
+			r.window.span = span
+			older, newer := &attempt{req: r}, &attempt{req: r, n: 1}
+			want(t, "the newer, first", newer.claim(time.Hour), true)
+			if never {
+				r.window.never(newer)
+			}
+			want(t, "the older, later", older.claim(time.Hour+after), never || after < span)
+			want(t, "dropped", older.stage.Load() == dropped, !never && after >= span)
+		}
+	}
+}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -33,6 +33,7 @@
 	at       time.Duration // when its last byte had come, or of an upload what is held
 	reply    chan answer   // holds the one answer
 	deadline time.Duration
+	window   window
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
 	closed   bool
@@ -125,7 +126,7 @@
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), places: c.Localities, requests: map[sprucehill.RequestID]*request{}, peers: map[sprucehill.UpstreamID]*peer{},
 		stopWatch: func() {}, stopFormer: func() {}}
-	l.dial = dialer{open: c.open, timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes())}
+	l.dial = dialer{open: c.open, timeout: c.Links.ConnectTimeout, tries: l.figures.tries, held: newBudget(c.heldBytes()), now: l.now}
 	if l.dial.open == nil {
 		l.dial.open = net.DialTimeout
 	}
@@ -339,6 +340,9 @@
 	}
 	a.told = true
 	q, now := a.req, l.now()
+	if r.status == sprucehill.Full || r.status == sprucehill.ConnectFailed || r.status == sprucehill.Moot {
+		q.window.never(a)
+	}
 	if served = r.status == sprucehill.OK && !q.closed; served {
 		l.answer(q, answer{status: http.StatusOK, body: r.body, kind: r.kind, more: r.more})
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -262,7 +262,8 @@
 }
 
 func testDialer() dialer {
-	return dialer{open: net.DialTimeout, timeout: time.Second, tries: &metrics.Counter{}, held: newBudget(1 << 20)}
+	return dialer{open: net.DialTimeout, timeout: time.Second, tries: &metrics.Counter{}, held: newBudget(1 << 20),
+		now: func() time.Duration { return time.Hour }}
 }
 
 func want(t *testing.T, what string, got, want any) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -89,6 +90,56 @@
 // drop keeps an attempt that has not begun to be written from being sent.
 func (a *attempt) drop() bool { return a.stage.CompareAndSwap(waiting, dropped) }
 
+// claim takes the attempt for writing at a time. False: it has been dropped, or its connection came up so late that it
+// would be a repeat which upstreams do not know as one any more, and is dropped now.
+func (a *attempt) claim(now time.Duration) bool {
+	if !a.req.window.open(now) {
+		a.drop()
+	}
+	if !a.stage.CompareAndSwap(waiting, claimed) {
+		return false
+	}
+	a.req.window.sent(a, now)
+	return true
+}
+
+// window bounds in time the attempts of a request whose upstreams throw away repeats for a while only. The module looks at it
+// when it asks for an attempt, but one may wait for its connection until after the end. Attempts are few, so it is a list.
+type window struct {
+	span time.Duration // from the first attempt that may have run; 0: nothing is bound
+	mu   sync.Mutex
+	ran  []ran
+}
+
+// ran is an attempt that may have run, and when its first byte was about to be written.
+type ran struct {
+	*attempt
+	at time.Duration
+}
+
+// open tells whether an attempt may still be written.
+func (w *window) open(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.span == 0 || !slices.ContainsFunc(w.ran, func(x ran) bool { return now-x.at >= w.span })
+}
+
+// sent notes that an attempt is written from now on.
+func (w *window) sent(a *attempt, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.span > 0 {
+		w.ran = append(w.ran, ran{a, now})
+	}
+}
+
+// never notes that an attempt has certainly not run: it binds no other.
+func (w *window) never(a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran = slices.DeleteFunc(w.ran, func(x ran) bool { return x.attempt == a })
+}
+
 // result is how an attempt ended, with its connection if that can serve again.
 type result struct {
 	status sprucehill.Status
@@ -134,6 +185,7 @@
 	timeout time.Duration
 	tries   *metrics.Counter // attempts written whole
 	held    *budget
+	now     func() time.Duration // the loop's clock
 }
 
 // connect returns the idle connection if it still stands, or a new one.
@@ -223,7 +275,7 @@
 		return result{status: sprucehill.ConnectFailed}
 	}
 	a.conn = c
-	if !a.stage.CompareAndSwap(waiting, claimed) { // dropped: its request ended or its upstream left
+	if !a.claim(d.now()) { // its request ended, its upstream left, or it is late
 		return result{status: sprucehill.Moot, conn: c}
 	}
 	sent, spent, err := d.write(a, c)
