Ask discovery again within the grace where it pushes, and within 6 s however rarely it may be asked

Cause: waits between failed calls followed ask_within alone. Where lists are pushed, what the agent has counts as told at once, yet after three failures a balancer waited up to 1.9 s (ask_within 10 s) against a grace of 0.5 s for drains, so an outage that ended in such a wait left it sending to upstreams that drain; where lists are asked for, 60 s made waits of 11 s beside a clock of 6 s. Change: pushed, at most a quarter of the grace (times up to 1.5); asked, at most a quarter of 6 s. Up to ask_within 12 s asked sites are as before.

--- a/balancer.go
+++ b/balancer.go
@@ -41,6 +41,7 @@
 	trustSpan             = 5 * time.Minute // age at which what was known before a restart counts for nothing
 	ticksPerAim           = 16              // housekeeping runs this often in the shortest aim
 	waitGrowth            = 2               // trials, failed connects and discovery calls are spaced by this growth
+	toldLate              = 6 * time.Second // at the latest after it was due counts as told what discovery has to tell
 	logEvery              = 5 * time.Second
 	tickToken, watchToken = 1, 2
 )
@@ -627,8 +628,12 @@
 // Members takes what discovery says of the upstreams.
 func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
 	if mode == ListFailed { // ask again, later each time and never all instances at once
-		// What discovery tells counts as told some seconds later, heard or not, so calls stay close.
-		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/8)
+		// What discovery tells counts as told some seconds later, heard or not, so calls stay close; where it pushes, at once.
+		longest := min(b.s.Rules.AskWithin/8, toldLate/4)
+		if !b.s.OnRequest {
+			longest = b.s.Rules.DrainGrace / 4
+		}
+		b.watchWait = min(max(b.watchWait*waitGrowth, longest/4), longest)
 		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
 		b.host.SetTimer(wait, watchToken)
 		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -311,6 +311,39 @@
 	}
 }
 
+// What discovery holds counts as told at once where it pushes, so no wait between two calls may come near the grace for
+// drains; waits of 1.9 s stood against one of 0.5 s. Where it is asked, what was to tell counts after 6 s, however rarely
+// the settings want it asked: with 60 s waits were up to 11 s.
+func TestCallsOfDiscoveryKeepToWhatCountsAsTold(t *testing.T) {
+	for _, x := range []struct {
+		asked         bool
+		within, grace time.Duration
+		longest       time.Duration
+	}{
+		{false, 10 * time.Second, 500 * ms, 250 * ms},
+		{false, 0, 2 * time.Second, time.Second},
+		{true, 10 * time.Second, 500 * ms, 2 * time.Second},
+		{true, time.Minute, 500 * ms, 3 * time.Second},
+		{true, 2 * time.Second, 500 * ms, 400 * ms},
+	} {
+		s := settings()
+		s.OnRequest, s.Rules.AskWithin, s.Rules.DrainGrace = x.asked, x.within, x.grace
+		b, h := start(t, s, fleet(1))
+		var longest time.Duration
+		h.hook = func(kind string, _ RequestID, _ UpstreamID, d time.Duration, n uint64) {
+			if kind == "timer" && n == watchToken {
+				longest = max(longest, d)
+			}
+		}
+		for range 100 {
+			b.Members(time.Hour, ListFailed, nil)
+		}
+		if longest < x.longest/4 || longest > x.longest {
+			t.Errorf("%+v: waits of up to %v", x, longest)
+		}
+	}
+}
+
 func TestBadSettings(t *testing.T) {
 	for field, spoil := range map[string]func(*Settings){
 		"Classes":                               func(s *Settings) { s.Classes = nil },
