Let a connection rest after an answer, so that a late second answer is not taken for the next one

Cause: take handed out the most recently used connection at once; what an upstream sends some milliseconds behind an answer then lies on a connection in use and is served to another client (dialer.fresh sees it only on one that rests). Tests: ages of idle connections; a second answer that comes once the next request has been sent. Two tests that reuse a connection wait for its rest.

--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -221,3 +221,64 @@
 		})
 	}
 }
+
+// What an upstream sends some milliseconds behind an answer is seen where its connection rests, and can't be told from the
+// answer to the next request where it does not: that one's client got it. A connection that has not settled is passed by
+// for one that has, or a new one; the next request gets its own answer.
+func TestConnectionSettlesBeforeItIsUsedAgain(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		ages   []time.Duration // of the idle connections, the least recently used first
+		opened int
+	}{
+		{"young", []time.Duration{0}, 2},
+		{"settled", []time.Duration{settles}, 1},
+		{"settled behind young", []time.Duration{2 * settles, settles, 0}, 3},
+		{"too old behind young", []time.Duration{time.Hour, 0}, 3},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s := newServer(t, okAll)
+			l := bench(t, 10)
+			p := join(l, 1, s)
+			for _, age := range x.ages {
+				c := idle(t, l, p, l.now()-age)
+				if age == 0 { // however long this takes
+					c.idleAt += time.Minute
+				}
+			}
+			l.request(1)
+			l.Send(1, 1, 0)
+			(<-l.events).apply(l)
+			<-s.arrivals
+			want(t, "connections opened", s.opened(), x.opened)
+			want(t, "connections counted", l.conns, len(p.idle))
+		})
+	}
+}
+
+// A second answer comes once the next request has been sent: by then that has gone out on another connection.
+func TestLateSecondAnswerIsNotPassedOn(t *testing.T) {
+	var first net.Conn // one request at a time
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if first == nil {
+			first = c
+			return ok(c, "first")
+		}
+		if !ok(first, "stray") {
+			return false
+		}
+		return c == first || ok(c, "second")
+	})
+	l := bench(t, 10)
+	join(l, 1, s)
+	for i, body := range []string{"first", "second"} {
+		id := sprucehill.RequestID(i + 1)
+		r := l.request(id)
+		l.Send(id, 1, 0)
+		(<-l.events).apply(l)
+		for _, c := range l.peers[1].idle {
+			c.idleAt = l.now() + time.Minute // however long this takes, it has not settled
+		}
+		want(t, "answer", string((<-r.reply).body), body)
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -277,6 +277,7 @@
 	s := newServer(t, okAll)
 	b := newBalancer(t, up("s-00000001", s))
 	for _, class := range []string{"pay", "checkin"} {
+		b.rested(t)
 		q := b.ask(class, "body", "Connection", "X-Hop", "X-Hop", "1", "X-Extras", "a=1")
 		status, body := b.do(t, q)
 		want(t, "status", status, 200)
@@ -406,7 +407,7 @@
 
 	// What waits for its connection when its request ends or its upstream leaves is not sent any more.
 	s := newServer(t, okAll)
-	a := &attempt{address: s.addr, head: []byte("POST /x HTTP/1.1\r\n\r\n")}
+	a := &attempt{req: &request{}, address: s.addr, head: []byte("POST /x HTTP/1.1\r\n\r\n")}
 	want(t, "dropped", a.drop(), true)
 	r := d.run(a)
 	want(t, "status", r.status, sprucehill.Moot)
