Take an answer that says it has 3 GB for spoilt, and pass nothing of it on

Cause: dialer.answer passes an answer on as it comes as soon as its length is over 64 KiB. Holding every large answer for 200 ms was tried and taken out: an upstream may pause after its first bytes. Change: a length over 64 MiB, twice what the pages have occur, is a reset. Test: a safe class gets another answer, an unsafe one 502; without, the beginning goes to the client.

--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -143,6 +143,26 @@
 	}
 }
 
+// An answer that says it is longer than any can be is spoilt: nothing of it is passed on, and a class that may run twice
+// gets another. Its beginning once went to the client, with a connection that broke after it.
+func TestAnswerOfAbsurdLengthIsNotPassedOn(t *testing.T) {
+	for class, status := range map[string]int{"read": 200, "checkin": 502} {
+		first := true // one request at a time
+		s := newServer(t, func(c net.Conn, r *http.Request) bool {
+			if !first {
+				return okAll(c, r)
+			}
+			first = false
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nbeginning", longestAnswer+1)
+			return false
+		})
+		b := newBalancer(t, up("s-00000001", s))
+		got, _ := b.do(t, b.ask(class, ""))
+		want(t, class, got, status)
+		b.settled(t)
+	}
+}
+
 // The time of an upload begins with its last byte: a slow one outlives its deadline, and its upstream gets what has
 // come as it comes.
 func TestUploadTakesItsTime(t *testing.T) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -318,7 +318,7 @@
 	for err == nil && resp.StatusCode < http.StatusOK { // 1xx come before the answer
 		resp, err = http.ReadResponse(c.in, nil)
 	}
-	if err != nil {
+	if err != nil || resp.ContentLength > longestAnswer {
 		c.Close()
 		return result{status: sprucehill.Reset}
 	}
@@ -353,6 +353,10 @@
 	return r
 }
 
+// longestAnswer is the greatest length that an answer may say it has: twice what the platform's pages have occur. One beyond
+// that is spoilt, and would break off once its beginning had been passed on.
+const longestAnswer = 64 << 20
+
 // passOn is how long an answer of unknown length is held before what has come is passed on: until it is whole it might
 // be one that can be asked for again, but holding back a long one costs its time.
 const passOn = 200 * time.Millisecond
