Take the bound on an answer's bytes for no end of it

Cause: io.LimitedReader ends with EOF, which is how an answer of no length ends: one whose head takes most of the bound of 512 KiB was served as whole where the bound cut it. Ruled out: lengths and chunks (their ends are told), streams (the bound is renewed with each read). Change: an end at the bound is a reset. Test: a head of 502 KiB, 50 kB behind it: 502; without, 200 with a part of the body.

--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -163,6 +163,20 @@
 	}
 }
 
+// The bound on what one answer may come to is no end of it: one of no length behind a head that takes most of the bound was
+// served as whole where the bound cut it.
+func TestBoundIsNoEndOfAnAnswer(t *testing.T) {
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", maxAnswer-10_000)+"\r\n\r\n")
+		io.Copy(c, noise(50_000))
+		return false
+	})
+	b := newBalancer(t, up("s-00000001", s))
+	status, _ := b.do(t, b.ask("checkin", ""))
+	want(t, "status", status, 502)
+	b.settled(t)
+}
+
 // The time of an upload begins with its last byte: a slow one outlives its deadline, and its upstream gets what has
 // come as it comes.
 func TestUploadTakesItsTime(t *testing.T) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -334,6 +334,9 @@
 	body, whole, err := d.held.hold(resp.Body, resp.ContentLength, func() bool {
 		return resp.ContentLength > maxBody || (resp.ContentLength < 0 && time.Since(began) > passOn)
 	})
+	if err == nil && whole && c.limit.N <= 0 { // the bound's end, not the answer's
+		err = io.ErrUnexpectedEOF
+	}
 	if err == nil && r.status == sprucehill.OK {
 		r.body = body
 	} else {
