Reckon the time of an upload that ends after SIGTERM from the kill

Cause: what is left until SIGKILL was reckoned as an upload began (frontend.request), but its time begins with its last byte (written.apply), so one that began before SIGTERM, or long before its end, had its whole time beyond the kill, where it is lost. Ruled out: requests that come whole (reckoned when they have). Change: reckoned when it has been written.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -522,7 +522,7 @@
 			f.held.give(cap(body))
 			return bad("body: %w", err)
 		}
-		q.Upload, q.message.rest, q.message.length = true, u, r.ContentLength
+		q.Upload, q.message.rest, q.message.length, q.within = true, u, r.ContentLength, f.beforeKill
 		u.onTaken = func() { f.figures.inProgress.Add(1) }
 	}
 	q.Class, q.Tenant, q.Retry = class.Name, h.Get("X-Tenant"), h.Get("X-Retry") == "1"
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -38,6 +38,7 @@
 	reply    chan answer   // holds the one answer
 	deadline time.Duration
 	window   window
+	within   func(at, most time.Duration) time.Duration // of an upload: what is left of most for one that has come at a time
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
 	closed   bool
@@ -284,7 +285,7 @@
 	if e.told || r.closed {
 		return
 	}
-	e.sentAt, r.deadline = now, now+r.Budget
+	e.sentAt, r.deadline = now, now+r.within(now, r.Budget)
 	l.alarm(alarm{at: r.deadline, request: r})
 	l.balancer.Written(now, r.ID, e.n)
 }
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -146,6 +147,49 @@
 	want(t, "too late to be sent", resp.StatusCode, http.StatusServiceUnavailable)
 }
 
+// The time of an upload begins with its last byte, and what is left until the kill is reckoned from then, however early the
+// upload began. One that began before SIGTERM had its whole time after it, beyond the kill.
+func TestUploadIsAnsweredBeforeTheKill(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool { <-release; return okAll(c, r) })
+	b := newBalancer(t, up("s-00000001", s))
+	f := b.proxy.front
+	body, client := io.Pipe()
+	r := b.ask("checkin", "")
+	r.Body, r.ContentLength = body, 2*maxBody
+	status := make(chan int, 1)
+	go func() {
+		got, _ := b.do(t, r)
+		status <- got
+	}()
+	if _, err := client.Write(make([]byte, 2*maxBody-1)); err != nil {
+		t.Fatal(err)
+	}
+	var q *request
+	b.await(t, "the upload is passed on", func(l *loop) bool {
+		for _, q = range l.requests {
+			return len(q.attempts) > 0
+		}
+		return false
+	})
+	f.toldAt.Store(int64(f.now() - time.Second)) // it has been told to end meanwhile
+	f.leaving.Store(true)
+	if _, err := client.Write([]byte{0}); err != nil {
+		t.Fatal(err)
+	}
+	client.Close()
+	<-s.arrivals
+	b.await(t, "its time has begun", func(l *loop) bool { return q.deadline != math.MaxInt64 })
+	b.inLoop(t, func(*loop) {
+		kill := time.Duration(f.toldAt.Load()) + min(f.longest, killCounts) + killed
+		if q.deadline >= kill {
+			t.Errorf("it has until %v after the kill", q.deadline-kill)
+		}
+	})
+	close(release)
+	want(t, "status", <-status, 200)
+}
+
 // reads is a listener of whose connections one read can be held back after its bytes have been taken from the network.
 type reads struct {
 	net.Listener
