Let a kept connection go whose next head stops within its first three bytes

Cause: net/http waits for the first four bytes of a next request as long as a connection may rest, 2 minutes, and times the head only then: a peer that sends one to three and is silent held its connection, and under SIGTERM the process up to its limit, as a request that has begun is not closed. Ruled out: new connections (timed from their start), four bytes and more. Change: once a byte of a head has come, a read waits for the rest no longer than for a first head, whoever sets the deadline. Test: one byte and four behind a whole request, as sent in one piece. Without: the one-byte peer is still there after 5 s.

--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -47,6 +47,7 @@
 	headAt time.Duration // when the present request began to come, the first with its connection
 	scan   scanner
 	err    error
+	headBy time.Time // when the present request's head must have come, if it is not the first
 
 	mu        sync.Mutex
 	misframed bool // err is set
@@ -109,7 +110,13 @@
 		c.headAt = c.now()
 	}
 	good, bad := c.scan.feed(p[:n])
+	begins := c.fresh || c.scan.wholes > c.wholes
 	c.fresh, c.wholes = c.scan.fresh(), c.scan.wholes
+	if begins && !c.fresh {
+		if c.headBy = time.Now().Add(slowClient); c.inHead() && c.wholes > 0 {
+			c.Conn.SetReadDeadline(c.headBy)
+		}
+	}
 	if bad != nil {
 		c.misframed = true
 		if c.err = bad; good > 0 {
@@ -120,6 +127,22 @@
 	return n, err
 }
 
+// SetReadDeadline sets until when a read may wait. net/http lets the first bytes of a next request wait for the fourth as
+// long as a connection may rest: once one has come, its head is due.
+func (c *framedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inHead() && c.wholes > 0 && (t.IsZero() || t.After(c.headBy)) {
+		t = c.headBy
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// inHead tells whether a part of a head has come, and no request waits for its answer. The lock is held.
+func (c *framedConn) inHead() bool {
+	return !c.fresh && c.scan.heads == c.wholes && c.wholes == c.served
+}
+
 // leaves tells whether the end that net/http sees in reading is that of the client, and not what is wrong with what comes
 // behind its request.
 func (c *framedConn) leaves() bool {
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -19,7 +19,8 @@
 	b := newBalancer(t, up("s-00000001", s))
 	const head = "POST /checkin HTTP/1.1\r\nHost: x\r\nX-Request-Id: 00000000000000aa\r\nX-Class: checkin\r\n"
 	ends := map[string]chan error{}
-	for _, sent := range []string{"", "PO", head, head + "Content-Length: 9\r\n\r\nbody"} {
+	const whole = head + "Content-Length: 0\r\n\r\n"
+	for _, sent := range []string{"", "PO", head, head + "Content-Length: 9\r\n\r\nbody", whole + "P", whole + "POST"} {
 		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
@@ -41,7 +42,7 @@
 			t.Errorf("after %q: %v, want a close", sent, err)
 		}
 	}
-	want(t, "requests at the upstream", len(s.arrivals), 0)
+	want(t, "requests at the upstream", len(s.arrivals), 2) // the whole ones
 }
 
 // Connections over the bound make room by closing those without a request, the longest so first, and only where
