Take what waits in the accept queue before the listener closes

Cause: stop closed the listener 450 ms after SIGTERM whatever waited in its queue, and a closed listener's queue is reset: a balancer that gets no processor for 50 ms then ends connections that came in time. Ruled out: adopted listeners (their queue is the successor's). Change: accepting itself ends the listener, after a last look of 10 ms for which it set the time itself. Test: accepting held back until the end has been told, five clients wait with their requests: all are answered, and the listener is closed. Without: the first is reset.

--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -5,9 +5,11 @@
 	"errors"
 	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,18 +28,49 @@
 // maxScanned is how much of a line the scanner keeps: all of one that tells a length.
 const maxScanned = 256
 
+// lastAccept is how long the last look for connections that wait to be taken lasts.
+const lastAccept = 10 * time.Millisecond
+
 // framedListener hands out connections whose requests are checked.
 type framedListener struct {
 	net.Listener
-	now func() time.Duration
+	now    func() time.Duration
+	ending atomic.Bool
+}
+
+// deadliner is a listener whose waiting can be ended without closing it.
+type deadliner interface{ SetDeadline(t time.Time) error }
+
+// end closes the listener once all that waits in its queue has been taken: what waits there as it closes is reset.
+func (l *framedListener) end() {
+	d, ok := l.Listener.(deadliner)
+	if !ok {
+		l.Close()
+		return
+	}
+	l.ending.Store(true)
+	d.SetDeadline(time.Unix(0, 1)) // whoever waits looks for the last time
 }
 
-func (l framedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func (l *framedListener) Accept() (net.Conn, error) {
+	for {
+		last, until := l.ending.Load(), time.Now().Add(lastAccept)
+		if last { // with a time of its own for each look: one that is over as accept begins takes nothing
+			l.Listener.(deadliner).SetDeadline(until)
+		}
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return &framedConn{Conn: c, now: l.now, headAt: l.now(), fresh: true}, nil
+		case !l.ending.Load():
+			return nil, err
+		case last && !time.Now().Before(until): // it has looked for so long
+			l.Close()
+			return nil, net.ErrClosed
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		}
 	}
-	return &framedConn{Conn: c, now: l.now, headAt: l.now(), fresh: true}, nil
 }
 
 // framedConn is a client's connection. A head in doubt is not passed on whole: its reader gets an error instead.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -71,7 +71,7 @@
 	longest  time.Duration
 	now      func() time.Duration
 	serving  http.Server
-	listener net.Listener
+	listener *framedListener
 	ended    chan struct{} // closed once no more connections are taken
 	mu       sync.Mutex
 	conns    map[*framedConn]clientConn
@@ -86,7 +86,7 @@
 
 func newFrontend(c *Config, l net.Listener, to *loop) *frontend {
 	f := &frontend{life: to.ctx, figures: to.figures, held: to.dial.held, classes: map[string]sprucehill.Class{},
-		post: to.post, listener: framedListener{l, to.now}, longest: c.longest(), maxOpen: c.clientConns(),
+		post: to.post, listener: &framedListener{Listener: l, now: to.now}, longest: c.longest(), maxOpen: c.clientConns(),
 		adopted: c.Adopts(), now: to.now, conns: map[*framedConn]clientConn{}, ended: make(chan struct{})}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
@@ -208,7 +208,9 @@
 		f.post(leave{})
 	}
 	time.Sleep(lameDuck)
-	f.listener.Close()
+	if !f.adopted {
+		f.listener.end()
+	}
 	<-f.ended // the last connection counts among the open ones
 	// http.Server.Shutdown closes a kept connection also while its next request comes in pieces.
 	limit, sweep := time.After(f.longest+slowAnswer), time.NewTicker(stopSweep)
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -274,3 +275,53 @@
 		}
 	}
 }
+
+// slowAccept is a listener whose accepting stops until the test lets it go on. It tells that it has been told to end.
+type slowAccept struct {
+	*net.TCPListener
+	goOn   chan struct{}
+	toEnd  chan struct{}
+	ending sync.Once
+}
+
+func (l *slowAccept) Accept() (net.Conn, error) {
+	<-l.goOn
+	return l.TCPListener.Accept()
+}
+
+func (l *slowAccept) SetDeadline(t time.Time) error {
+	l.ending.Do(func() { close(l.toEnd) })
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *slowAccept) Close() error {
+	l.ending.Do(func() { close(l.toEnd) })
+	return l.TCPListener.Close()
+}
+
+// A balancer that is told to end and is late to take connections takes those that wait in its listener's queue, and answers
+// what they bring. They were reset as the listener closed.
+func TestStopTakesWhatWaitsToBeAccepted(t *testing.T) {
+	s := newServer(t, okAll)
+	l := &slowAccept{goOn: make(chan struct{}), toEnd: make(chan struct{})}
+	b := newBalancerOn(t, newRegistry(t), func(x net.Listener) net.Listener { l.TCPListener = x.(*net.TCPListener); return l },
+		func(*Config) {}, up("s-00000001", s))
+	var waiting []net.Conn
+	for range 5 {
+		waiting = append(waiting, b.raw(t, "checkin", "", ""))
+	}
+	b.cancel()
+	<-l.toEnd
+	close(l.goOn)
+	for _, c := range waiting {
+		begun{Conn: c, in: bufio.NewReader(c)}.answer(t, 200)
+	}
+	if err := <-b.ended; err != nil {
+		t.Error(err)
+	}
+	b.ended <- nil
+	if c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://")); err == nil {
+		c.Close()
+		t.Error("it still takes connections")
+	}
+}
