End an attempt that is given up before the next one is sent

Cause: loop.end only set a deadline in the past; the connection was closed by the attempt's reader when that came to run, while the module was told at once and might send again: two attempts were out together, which settings without second copies forbid. Ruled out: attempts that end by themselves (closed or read whole before they are told). Change: its sending is ended (CloseWrite) before the module is told; a connection whose answer came at that moment is not kept. Test: the first connection's reader held back, order of ends and sends noted. Without: the second is sent before the first has ended.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -328,7 +328,11 @@
 	a.message, a.head = message{}, nil // an alarm may keep the attempt
 	delete(a.peer.out, a)
 	if s := e.result.more; s == nil {
-		l.keep(a.peer, e.result.conn)
+		if a.given.Load() && e.result.conn != nil { // as its answer came
+			l.shut(e.result.conn)
+		} else {
+			l.keep(a.peer, e.result.conn)
+		}
 	} else if s.peer = a.peer; a.told || a.req.closed {
 		l.shut(s.conn)
 	}
@@ -379,7 +383,7 @@
 		status = sprucehill.Moot
 	} else {
 		a.given.Store(true)
-		a.conn.SetDeadline(time.Unix(0, 1)) // its connection is closed: that tells the upstream to stop, and frees its room
+		a.conn.giveUp() // that tells the upstream to stop, and frees its room
 	}
 	l.tell(a, result{status: status})
 }
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -282,3 +283,66 @@
 		want(t, "answer", string((<-r.reply).body), body)
 	}
 }
+
+// noted is a connection that notes when its sending begins and ends. Its reader goes on, after an error, only when the test
+// lets it.
+type noted struct {
+	*net.TCPConn
+	events chan string
+	read   chan struct{}
+	begin  sync.Once
+}
+
+func (c *noted) Write(p []byte) (int, error) {
+	c.begin.Do(func() { c.events <- "sent" }) // head and body are two writes
+	return c.TCPConn.Write(p)
+}
+
+func (c *noted) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err != nil {
+		<-c.read
+	}
+	return n, err
+}
+
+func (c *noted) CloseWrite() error {
+	c.events <- "ended"
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *noted) Close() error {
+	c.events <- "ended"
+	return c.TCPConn.Close()
+}
+
+// An attempt that is given up has ended at its upstream before the next one is sent: where the settings have no second copies
+// two must not be out at once. Its connection was closed by its reader, when that came to it.
+func TestGivenUpAttemptEndsBeforeTheNextIsSent(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	s := newServer(t, func(net.Conn, *http.Request) bool { <-hold; return false })
+	events, read := make(chan string, 100), make(chan struct{})
+	b := newBalancerWith(t, newRegistry(t), func(c *Config) {
+		c.open = func(network, address string, timeout time.Duration) (net.Conn, error) {
+			x, err := net.DialTimeout(network, address, timeout)
+			if err != nil {
+				return nil, err
+			}
+			return &noted{TCPConn: x.(*net.TCPConn), events: events, read: read}, nil
+		}
+	}, up("s-00000001", s), up("s-00000002", s))
+	defer close(read)
+	b.raw(t, "read", "", "")
+	<-s.arrivals
+	want(t, "first", <-events, "sent")
+	b.inLoop(t, func(l *loop) {
+		for id := range l.requests {
+			l.Cancel(id, 0)
+		}
+		l.settle()
+	})
+	<-s.arrivals // the next attempt
+	want(t, "then", <-events, "ended")
+	want(t, "then", <-events, "sent")
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -63,6 +63,15 @@
 	return nil
 }
 
+// giveUp ends the attempt on the connection, from outside. Its sending has ended when giveUp returns, which is what gives an
+// attempt up: one that follows must not be out beside it where the settings forbid that. Its reader then closes it.
+func (c *conn) giveUp() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	c.SetDeadline(time.Unix(0, 1))
+}
+
 // The stages of an attempt. The loop may drop one that waits for its connection;
 // what has been claimed for writing counts as sent.
 const (
