End start-up with the file and the key for every setting out of range

Seen: 47 spoilt configurations given to the balancer: 25 ended in a message without the file and with a name that stands in no file (Limits.MaxAttempts), after "starting" had been logged; worth_by, drain_grace_us and max_retry_after_us out of range were taken. Cause: the module checks its settings in New, which Run calls; nothing looked at those three. Change: the check is exported, names keys, and LoadConfig makes it, where the file is known; worth_by has to be a known one or none. Test: 14 more spoilt files, and each message has to name the file; without the change 14 fail.

--- a/balancer.go
+++ b/balancer.go
@@ -48,8 +48,10 @@
 
 // New returns a Balancer, or an error that names the setting that is wrong.
 func New(s Settings, seed uint64, now time.Duration, host Host) (*Balancer, error) {
-	if err := s.validate(host); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
+	} else if host == nil {
+		return nil, bad("Host is nil")
 	}
 	b := &Balancer{s: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
 		tenants: map[string]*tenant{}, safest: Unsafe, requests: map[RequestID]*request{},
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -346,30 +346,30 @@
 
 func TestBadSettings(t *testing.T) {
 	for field, spoil := range map[string]func(*Settings){
-		"Classes":                               func(s *Settings) { s.Classes = nil },
-		"Balancers":                             func(s *Settings) { s.Balancers = 0 },
-		"Limits.MaxAttempts":                    func(s *Settings) { s.Limits.MaxAttempts = 0 },
-		"Rules.TipAfter":                        func(s *Settings) { s.Rules.TipAfter = 0 },
-		"Rules.RampTime":                        func(s *Settings) { s.Rules.RampTime = 0 },
-		"Rules.TipMultiple":                     func(s *Settings) { s.Rules.TipMultiple = 0 },
-		"Rules.ColdFrom":                        func(s *Settings) { s.Rules.ColdFrom = 0 },
-		"Rules.AskWithin":                       func(s *Settings) { s.OnRequest, s.Rules.AskWithin = true, 0 },
-		"Aim":                                   func(s *Settings) { s.Classes[0].Aim = 0 },
-		"Deadline":                              func(s *Settings) { s.Classes[0].Deadline = ms },
-		"Memory":                                func(s *Settings) { s.Classes[1].Memory = 0 },
-		"\"read\" is set twice":                 func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
-		"Worth":                                 func(s *Settings) { s.Classes[2].Worth = -1 },
-		"Quota":                                 func(s *Settings) { s.Tenants[1].Quota = -1 },
-		"Rank":                                  func(s *Settings) { s.Rank = s.Balancers },
-		"OverShareWorth":                        func(s *Settings) { s.OverShareWorth = math.NaN() },
-		"Granularity":                           func(s *Settings) { s.Granularity = -1 },
-		"Weights":                               func(s *Settings) { s.Weights = 9 },
-		"Reports":                               func(s *Settings) { s.Reports = 9 },
-		"Repeat":                                func(s *Settings) { s.Classes[0].Repeat = 9 },
-		"Group":                                 func(s *Settings) { s.Classes[1].Group = 9 },
-		"LateWorth":                             func(s *Settings) { s.Classes[0].LateWorth = math.Inf(1) },
-		"\"small\" is set twice or has a Quota": func(s *Settings) { s.Tenants[1].Quota = math.NaN() },
-		"\"big\" is set twice":                  func(s *Settings) { s.Tenants = append(s.Tenants, s.Tenants[0]) },
+		"Classes":               func(s *Settings) { s.Classes = nil },
+		"Balancers":             func(s *Settings) { s.Balancers = 0 },
+		"Limits.MaxAttempts":    func(s *Settings) { s.Limits.MaxAttempts = 0 },
+		"Rules.TipAfter":        func(s *Settings) { s.Rules.TipAfter = 0 },
+		"Rules.RampTime":        func(s *Settings) { s.Rules.RampTime = 0 },
+		"Rules.TipMultiple":     func(s *Settings) { s.Rules.TipMultiple = 0 },
+		"Rules.ColdFrom":        func(s *Settings) { s.Rules.ColdFrom = 0 },
+		"Rules.AskWithin":       func(s *Settings) { s.OnRequest, s.Rules.AskWithin = true, 0 },
+		"Aim":                   func(s *Settings) { s.Classes[0].Aim = 0 },
+		"Deadline":              func(s *Settings) { s.Classes[0].Deadline = ms },
+		"Memory":                func(s *Settings) { s.Classes[1].Memory = 0 },
+		"\"read\" is set twice": func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
+		"Worth":                 func(s *Settings) { s.Classes[2].Worth = -1 },
+		"Quota":                 func(s *Settings) { s.Tenants[1].Quota = -1 },
+		"Rank":                  func(s *Settings) { s.Rank = s.Balancers },
+		"OverShareWorth":        func(s *Settings) { s.OverShareWorth = math.NaN() },
+		"Granularity":           func(s *Settings) { s.Granularity = -1 },
+		"Weights":               func(s *Settings) { s.Weights = 9 },
+		"Reports":               func(s *Settings) { s.Reports = 9 },
+		"Repeat":                func(s *Settings) { s.Classes[0].Repeat = 9 },
+		"Group":                 func(s *Settings) { s.Classes[1].Group = 9 },
+		"LateWorth":             func(s *Settings) { s.Classes[0].LateWorth = math.Inf(1) },
+		"\"small\" is set twice or has a quota_rps (Quota)": func(s *Settings) { s.Tenants[1].Quota = math.NaN() },
+		"\"big\" is set twice":                              func(s *Settings) { s.Tenants = append(s.Tenants, s.Tenants[0]) },
 	} {
 		s := settings()
 		spoil(&s)
@@ -380,11 +380,11 @@
 	}
 	for _, f := range []float64{math.NaN(), math.Inf(1), -1, 0} {
 		s := settings()
-		if s.Rules.TipMultiple = f; s.validate(&recorder{}) == nil {
+		if s.Rules.TipMultiple = f; s.Validate() == nil {
 			t.Errorf("TipMultiple %v is taken", f)
 		}
 		s = settings()
-		if s.Rules.ColdFrom = f; s.validate(&recorder{}) == nil {
+		if s.Rules.ColdFrom = f; s.Validate() == nil {
 			t.Errorf("ColdFrom %v is taken", f)
 		}
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -145,6 +145,9 @@
 	if c.Settings, c.Links, err = wire.DecodeSettings(f.Settings); err != nil {
 		return c, err
 	}
+	if err := c.Settings.Validate(); err != nil { // here, where the file is known
+		return c, fmt.Errorf("settings: %w", err)
+	}
 	if c.Links.KeepAlive <= 0 || c.Links.ConnectTimeout <= 0 {
 		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
 	}
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -72,10 +72,25 @@
 		{"on_request", "never", "membership_mode"},
 		{`"keepalive_us":60000000`, `"keepalive_us":0`, "keepalive_us"},
 		{`"phase":"up"`, `"phase":"odd"`, "odd"},
+		{`"worth_by":"work"`, `"worth_by":"luck"`, "worth_by"},
+		{`"max_attempts":3`, `"max_attempts":0`, "limits.max_attempts"},
+		{`"max_attempts":3`, `"max_attempts":3,"max_retry_after_us":-1`, "limits.max_retry_after_us"},
+		{`"memory_span_us":9000000`, `"memory_span_us":-1`, `"pay": memory_span_us`},
+		{`"target_us":2000000`, `"target_us":0`, `"read": target_us`},
+		{`"give_up_us":4000000`, `"give_up_us":1`, `"read": give_up_us`},
+		{`"worth":1`, `"worth":-1`, `"read": worth`},
+		{`"name":"read"`, `"name":"pay"`, `class "pay" is set twice`},
+		{`"cold_from":0.3`, `"cold_from":0`, "obligations.cold_from"},
+		{`"cold_from":0.3`, `"cold_from":0.3,"drain_grace_us":-1`, "obligations.drain_grace_us"},
+		{`"ramp_time_us":9000000`, `"ramp_time_us":0`, "obligations.ramp_time_us"},
+		{`"ask_within_us":320000`, `"ask_within_us":0`, "obligations.ask_within_us"},
+		{`"balancers":1`, `"balancers":1,"rank":1`, "rank"},
+		{`"balancers":1`, `"balancers":0`, "balancers"},
 		{`"127.0.0.1:7"`, `"here"`, "s-5be2a07c"},
 	} {
-		if _, err := load(t, strings.Replace(configText, c.old, c.new, 1), nil); err == nil || !strings.Contains(err.Error(), c.wants) {
-			t.Errorf("%s: got %v, want it to name %s", c.new, err, c.wants)
+		_, err := load(t, strings.Replace(configText, c.old, c.new, 1), nil)
+		if err == nil || !strings.Contains(err.Error(), c.wants) || !strings.Contains(err.Error(), "config.json") {
+			t.Errorf("%s: got %v, want it to name the file and %s", c.new, err, c.wants)
 		}
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -68,7 +68,8 @@
 		"rough": sprucehill.WeightRough, "live": sprucehill.WeightLive}
 	vias = map[string]sprucehill.ReportVia{"silent": sprucehill.ReportNone, "piggyback": sprucehill.ReportAnswers,
 		"pull": sprucehill.ReportProbes}
-	asks = map[string]bool{"pushed": false, "on_request": true}
+	asks   = map[string]bool{"pushed": false, "on_request": true}
+	worths = map[string]bool{"": false, "request": false, "work": true} // by work
 )
 
 func us(x int64) time.Duration { return time.Duration(x) * time.Microsecond }
@@ -98,7 +99,7 @@
 		return s, links, fmt.Errorf("settings: %w", err)
 	}
 	s = sprucehill.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
-		WorthByWork: p.WorthBy == "work", WarmKeys: p.Family.WarmKeys, Granularity: us(p.Granularity),
+		WarmKeys: p.Family.WarmKeys, Granularity: us(p.Granularity),
 		Limits: sprucehill.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
 			RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts},
 		Rules: sprucehill.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
@@ -106,6 +107,9 @@
 			AnswerWithin: us(p.Rules.Slack)}}
 	links = Links{KeepAlive: us(p.Limits.KeepAlive), ConnectTimeout: us(p.Limits.ConnectTimeout)}
 	var ok bool
+	if s.WorthByWork, ok = worths[p.WorthBy]; !ok {
+		return s, links, fmt.Errorf("settings: worth_by %q is unknown", p.WorthBy)
+	}
 	if s.OnRequest, ok = asks[p.Mode]; !ok {
 		return s, links, fmt.Errorf("settings: membership_mode %q is unknown", p.Mode)
 	}
