Force the ends of a request in every order, and see that no goroutine is left after a test

Two attempts (answer, stream, reset, unsent, each with each), the end of an attempt's time, of the request's, and its client's leave, in every order: 1,920 plays, at most one answer, and bytes held, connections, attempts and requests back at nothing. Every test that runs a balancer now waits at its end until none of its goroutines is left.

--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -403,13 +403,11 @@
 			}, up("s-00000001", s))
 			c := b.raw(t, "pay", "", "")
 			close(g.next(t).up)
+			<-s.arrivals
+			var arrived time.Duration // after it was written
+			b.inLoop(t, func(l *loop) { arrived = l.now() })
 			second := g.next(t)
-			b.await(t, "the short time is over", func(l *loop) bool {
-				for _, r := range l.requests {
-					return l.now() >= r.at+700*time.Millisecond
-				}
-				return true
-			})
+			b.await(t, "the short time is over", func(l *loop) bool { return l.now() >= arrived+700*time.Millisecond })
 			close(second.up)
 			in := bufio.NewReader(c)
 			resp, err := http.ReadResponse(in, nil)
@@ -419,7 +417,7 @@
 			want(t, "served", resp.StatusCode == 200, x.sent == 2)
 			c.Close()
 			b.settled(t)
-			want(t, "requests at the upstream", len(s.arrivals), x.sent)
+			want(t, "further requests at the upstream", len(s.arrivals), x.sent-1)
 		})
 	}
 }
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -291,6 +292,7 @@
 	events chan string
 	read   chan struct{}
 	begin  sync.Once
+	end    sync.Once
 }
 
 func (c *noted) Write(p []byte) (int, error) {
@@ -307,12 +309,12 @@
 }
 
 func (c *noted) CloseWrite() error {
-	c.events <- "ended"
+	c.end.Do(func() { c.events <- "ended" })
 	return c.TCPConn.CloseWrite()
 }
 
 func (c *noted) Close() error {
-	c.events <- "ended"
+	c.end.Do(func() { c.events <- "ended" })
 	return c.TCPConn.Close()
 }
 
@@ -346,3 +348,91 @@
 	want(t, "then", <-events, "ended")
 	want(t, "then", <-events, "sent")
 }
+
+// orders calls do with every order of n things.
+func orders(n int, do func(order []int)) {
+	var place func(order, rest []int)
+	place = func(order, rest []int) {
+		if len(rest) == 0 {
+			do(order)
+		}
+		for i, x := range rest {
+			place(append(slices.Clone(order), x), slices.Delete(slices.Clone(rest), i, i+1))
+		}
+	}
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	place(nil, all)
+}
+
+// Two attempts of a request end, their time runs out, the request's does, and its client leaves, in every order, the attempts
+// each with an answer, one that is passed on as it comes, a reset, or unsent: there is at most one answer, and nothing stays
+// counted or held.
+func TestEndsOfARequestInEveryOrder(t *testing.T) {
+	ends := []string{"answer", "stream", "reset", "unsent"}
+	plays := 0
+	for _, first := range ends {
+		for _, second := range ends {
+			orders(5, func(order []int) {
+				plays++
+				l := bench(t, 10)
+				p := &peer{id: 1, address: "pipe", state: sprucehill.Active, out: map[*attempt]struct{}{}}
+				l.peers[1] = p
+				r := l.request(1)
+				held := l.dial.held.free.Load()
+				var results []result
+				for i, how := range []string{first, second} {
+					mine, other := net.Pipe()
+					t.Cleanup(func() { other.Close() })
+					c := &conn{Conn: mine}
+					a := &attempt{req: r, n: i, peer: p, conn: c}
+					r.attempts, r.out, l.conns = append(r.attempts, a), r.out+1, l.conns+1
+					p.out[a] = struct{}{}
+					res := result{status: sprucehill.Moot, conn: c}
+					if how != "unsent" {
+						a.stage.Store(claimed)
+						res = result{status: sprucehill.Reset}
+					}
+					if how == "answer" || how == "stream" {
+						res = result{status: sprucehill.OK, body: make([]byte, 0, 100), conn: c}
+						l.dial.held.take(100)
+					}
+					if how == "stream" {
+						res.conn, res.more = nil, &stream{conn: c}
+					}
+					results = append(results, res)
+				}
+				for _, x := range order {
+					switch x {
+					case 0, 1:
+						finished{r.attempts[x], results[x]}.apply(l)
+					case 2:
+						l.expire(r.attempts[0])
+					case 3:
+						l.Fail(1)
+					case 4:
+						left{r}.apply(l)
+					}
+					l.settle()
+				}
+				answers := 0
+				for len(r.reply) > 0 { // its client left as it came: the frontend takes none
+					a := <-r.reply
+					answers++
+					l.dial.held.give(cap(a.body))
+					if a.more != nil {
+						l.shut(a.more.conn)
+					}
+				}
+				if answers > 1 || l.dial.held.free.Load() != held || l.conns != len(p.idle) || r.out != 0 || len(l.requests) != 0 ||
+					len(p.out) != 0 {
+					t.Fatalf("%s and %s, order %v: answers %d, bytes held %d, connections %d, idle %d, attempts out %d, requests %d",
+						first, second, order, answers, held-l.dial.held.free.Load(), l.conns, len(p.idle), r.out, len(l.requests))
+				}
+			})
+		}
+	}
+	t.Logf("%d plays", plays)
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -155,6 +156,9 @@
 
 func draining(m member) member { m.Phase = "draining"; return m }
 
+// balancers is how many run in the present test; tests of this package run one at a time.
+var balancers int
+
 // balancer is a running balancer.
 type balancer struct {
 	url      string
@@ -202,6 +206,7 @@
 	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), moves: make(chan string),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 	b.proxy = New(c, listen(l))
+	balancers++
 	go func() { b.ended <- b.proxy.Run(ctx, b.moves) }()
 	t.Cleanup(func() {
 		b.client.CloseIdleConnections()
@@ -210,10 +215,35 @@
 			t.Error(err)
 		}
 		b.ended <- nil
+		if balancers--; balancers == 0 && !t.Failed() {
+			nothingRuns(t)
+		}
 	})
 	return b
 }
 
+// nothingRuns waits until no goroutine of a balancer's is left.
+func nothingRuns(t testing.TB) {
+	t.Helper()
+	text := make([]byte, 1<<20)
+	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		left := ""
+		for stack := range strings.SplitSeq(string(text[:runtime.Stack(text, true)]), "\n\n") {
+			for _, of := range []string{"(*loop)", "(*frontend)", "(*framedConn)", "(*discovery)", "(*state)", "dialer"} {
+				if strings.Contains(stack, "sprucehill/internal/proxy."+of) && !strings.Contains(stack, "proxy.nothingRuns") {
+					left = stack
+				}
+			}
+		}
+		if left == "" {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("still runs:\n%s", left)
+		}
+	}
+}
+
 var lastID int
 
 // ask returns a well-formed request of a class.
