Ask on a connection in a test only once it rests

The test of a request that crosses a close failed in 4 of some 60 runs beside a loaded machine: its second request came before net/http had set the connection at rest, and then it stays, rightly. It waits for that now; the check is the same.

--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -218,6 +218,18 @@
 	return n, err
 }
 
+// allRest tells whether there is a connection, and every one is between requests.
+func (f *frontend) allRest() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if !c.rests() {
+			return false
+		}
+	}
+	return len(f.conns) > 0
+}
+
 // A request comes in the very moment in which its resting connection is closed. Either it was there first, and the
 // connection stays and it is answered; or the connection was, and the request, which its client sends again, is not sent
 // on. It was, where its bytes had been taken from the network but not been looked at.
@@ -248,6 +260,11 @@
 					sent++
 				}
 				f := b.proxy.front
+				for limit := time.Now().Add(30 * time.Second); !f.allRest(); time.Sleep(time.Millisecond) {
+					if time.Now().After(limit) {
+						t.Fatal("the connection never rests")
+					}
+				}
 				r.armed.Store(true)
 				ask()
 				<-r.taken
