--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -248,6 +248,11 @@
 					c.idleAt += time.Minute
 				}
 			}
+			for limit := time.Now().Add(30 * time.Second); s.opened() < len(x.ages); time.Sleep(time.Millisecond) {
+				if time.Now().After(limit) { // the server counts a connection once it has accepted it
+					t.Fatal("connections are not accepted")
+				}
+			}
 			l.request(1)
 			l.Send(1, 1, 0)
 			(<-l.events).apply(l)
