--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -20,11 +20,7 @@
 	// the upstream has just closed ends as a reset.
 	spareIdle  = 5 * time.Second
 	sweepEvery = time.Second
-	// settles is how long a connection rests after an answer before it is used again, where another can be had. An upstream
-	// may send some milliseconds behind its answer what nobody asked for: on a connection that rests that is seen, on one in
-	// use it would be taken for the answer to the next request.
-	settles  = 25 * time.Millisecond
-	logQueue = 256
+	logQueue   = 256
 )
 
 // event is something that happened outside, told to the loop.
@@ -610,19 +606,15 @@
 
 // take is an idle connection to p for use, or nil and room for a new one; false: there is neither. One that has idled for
 // long is not used any more, between two sweeps as well: what is written as its upstream closes it ends as a reset, which
-// some classes may not send again. Of the others the most recently used goes first that has settled.
+// some classes may not send again.
 func (l *loop) take(p *peer) (*conn, bool) {
-	now := l.now()
-	if n := len(p.idle); n > 0 && now-p.idle[n-1].idleAt >= l.idleFor {
-		l.Disconnect(p.id) // the youngest is too old
-	}
-	for i, c := range slices.Backward(p.idle) {
-		if age := now - c.idleAt; age >= l.idleFor {
-			break
-		} else if age >= settles {
-			p.idle = slices.Delete(p.idle, i, i+1)
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		if l.now()-c.idleAt < l.idleFor {
+			p.idle = p.idle[:n-1]
 			return c, true
 		}
+		l.Disconnect(p.id) // the youngest
 	}
 	if !l.room() {
 		return nil, false
