Derive what a client's connection and a repeat's window held twice

Read again: framedConn kept copies of what its scanner knows (fresh, wholes) and of its error (misframed), three tests beside each other told a resting connection; follow took a callback made to run once where it runs once anyhow; claim took one lock twice with the stage between; an attempt given up was told apart beside keep, which judges connections; three places found a request's connection, four wrote the same past deadline, two the same interface. Each is one piece now; behaviour is as it was.

--- a/internal/proxy/ahead.go
+++ b/internal/proxy/ahead.go
@@ -23,7 +23,7 @@
 // ahead is what has been read of a client's connection behind its present request. The connection's lock guards it.
 type ahead struct {
 	behind   bool          // net/http looks no more for the client's leave
-	departed func()        // tells that leave; nil: nobody waits for it
+	departed chan struct{} // closed at that leave; nil: nobody waits for it
 	looking  chan struct{} // closed once nothing is read ahead any more; nil: nothing is
 	kept     []byte
 	over     bool  // more came than is kept
@@ -48,15 +48,16 @@
 	return n, err, true
 }
 
-// follow has departed called, at most once, as soon as the client is seen to leave behind bytes that nobody reads. It ends
-// with unfollow. A leave that net/http sees by itself is not told.
-func (c *framedConn) follow(departed func()) {
+// follow returns what is closed as soon as the client is seen to leave behind bytes that nobody reads. It ends with
+// unfollow. A leave that net/http sees by itself is not told.
+func (c *framedConn) follow() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.departed = departed
+	c.departed = make(chan struct{})
 	if c.behind {
 		c.look()
 	}
+	return c.departed
 }
 
 // unfollow returns once nothing is read ahead any more.
@@ -66,7 +67,7 @@
 	c.departed, c.looking = nil, nil
 	c.mu.Unlock()
 	if looking != nil {
-		c.Conn.SetReadDeadline(time.Unix(0, 1))
+		c.Conn.SetReadDeadline(past)
 		<-looking
 		c.Conn.SetReadDeadline(time.Time{})
 	}
@@ -93,15 +94,12 @@
 		if c.over = c.over || len(c.kept)+n > aheadKept; !c.over {
 			c.kept = append(c.kept, buf[:n]...)
 		}
-		departed := c.departed
-		if err != nil && departed != nil {
+		if err != nil && c.departed != nil { // else unfollow has ended the read
 			c.ended = err
+			close(c.departed)
 		}
 		c.mu.Unlock()
 		if err != nil {
-			if departed != nil {
-				departed()
-			}
 			return
 		}
 	}
--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -28,6 +28,9 @@
 // maxScanned is how much of a line the scanner keeps: all of one that tells a length.
 const maxScanned = 256
 
+// past is a deadline that ends whatever waits.
+var past = time.Unix(0, 1)
+
 // lastAccept is how long the last look for connections that wait to be taken lasts.
 const lastAccept = 10 * time.Millisecond
 
@@ -49,7 +52,7 @@
 		return
 	}
 	l.ending.Store(true)
-	d.SetDeadline(time.Unix(0, 1)) // whoever waits looks for the last time
+	d.SetDeadline(past) // whoever waits looks for the last time
 }
 
 func (l *framedListener) Accept() (net.Conn, error) {
@@ -61,7 +64,7 @@
 		c, err := l.Listener.Accept()
 		switch {
 		case err == nil:
-			return &framedConn{Conn: c, now: l.now, headAt: l.now(), fresh: true}, nil
+			return &framedConn{Conn: c, now: l.now, headAt: l.now()}, nil
 		case !l.ending.Load():
 			return nil, err
 		case last && !time.Now().Before(until): // it has looked for so long
@@ -78,16 +81,13 @@
 	net.Conn
 	now    func() time.Duration
 	headAt time.Duration // when the present request began to come, the first with its connection
-	scan   scanner
-	err    error
-	headBy time.Time // when the present request's head must have come, if it is not the first
+	headBy time.Time     // when its head must have come, if it is not the first
 
-	mu        sync.Mutex
-	misframed bool // err is set
-	shut      bool // closed between requests: what is read at that very moment goes no further
-	fresh     bool // no part of a request has come beyond the whole ones
-	wholes    int  // requests that have come whole
-	served    int  // requests that have been answered
+	mu     sync.Mutex // the reader takes it too, to change what it guards
+	scan   scanner
+	err    error // what is wrong with what was read last
+	shut   bool  // closed between requests: what is read at that very moment goes no further
+	served int   // requests that have been answered
 	ahead
 }
 
@@ -103,15 +103,18 @@
 func (c *framedConn) rests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.fresh && c.wholes == c.served
+	return c.resting()
 }
 
+// resting is rests with the lock held.
+func (c *framedConn) resting() bool { return c.scan.fresh() && c.scan.wholes == c.served }
+
 // closeResting closes the connection if it is between requests, and tells whether it was. Its client then sends again
 // what crosses that, so it must not be sent on as well: bytes that have been taken from the network but not been noted
 // as the connection is closed are given to nobody.
 func (c *framedConn) closeResting() bool {
 	c.mu.Lock()
-	c.shut = c.shut || (c.fresh && c.wholes == c.served)
+	c.shut = c.shut || c.resting()
 	shut := c.shut
 	c.mu.Unlock()
 	if shut {
@@ -121,11 +124,12 @@
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
 	if c.err != nil {
+		c.mu.Unlock()
 		return 0, c.err
 	}
-	c.mu.Lock()
-	behind := c.wholes > c.served // the present request has come: what reads now only looks for its client's leave
+	behind := c.scan.wholes > c.served // the present request has come: what reads now only looks for its client's leave
 	n, err, kept := c.take(p)
 	c.mu.Unlock()
 	if !kept {
@@ -139,19 +143,17 @@
 	if c.behind = c.behind || (behind && n > 0); c.behind {
 		c.look()
 	}
-	if n > 0 && c.fresh && c.scan.heads > 0 {
+	fresh, wholes := c.scan.fresh(), c.scan.wholes
+	if n > 0 && fresh && c.scan.heads > 0 {
 		c.headAt = c.now()
 	}
 	good, bad := c.scan.feed(p[:n])
-	begins := c.fresh || c.scan.wholes > c.wholes
-	c.fresh, c.wholes = c.scan.fresh(), c.scan.wholes
-	if begins && !c.fresh {
-		if c.headBy = time.Now().Add(slowClient); c.inHead() && c.wholes > 0 {
+	if !c.scan.fresh() && (fresh || c.scan.wholes > wholes) { // another has begun
+		if c.headBy = time.Now().Add(slowClient); c.inHead() {
 			c.Conn.SetReadDeadline(c.headBy)
 		}
 	}
 	if bad != nil {
-		c.misframed = true
 		if c.err = bad; good > 0 {
 			return good, nil
 		}
@@ -165,15 +167,17 @@
 func (c *framedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inHead() && c.wholes > 0 && (t.IsZero() || t.After(c.headBy)) {
+	if c.inHead() && (t.IsZero() || t.After(c.headBy)) {
 		t = c.headBy
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// inHead tells whether a part of a head has come, and no request waits for its answer. The lock is held.
+// inHead tells whether a part of a head has come that is not the first, and no request waits for its answer. The lock is
+// held.
 func (c *framedConn) inHead() bool {
-	return !c.fresh && c.scan.heads == c.wholes && c.wholes == c.served
+	n := c.scan.wholes
+	return n > 0 && n == c.served && n == c.scan.heads && !c.scan.fresh()
 }
 
 // leaves tells whether the end that net/http sees in reading is that of the client, and not what is wrong with what comes
@@ -181,12 +185,15 @@
 func (c *framedConn) leaves() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.misframed
+	return c.err == nil
 }
 
+// halfCloser is a connection whose sending can be ended alone.
+type halfCloser interface{ CloseWrite() error }
+
 // CloseWrite lets net/http close a connection without taking the last answer away from a client that still sends.
 func (c *framedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	if half, ok := c.Conn.(halfCloser); ok {
 		return half.CloseWrite()
 	}
 	return errors.ErrUnsupported
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -275,9 +275,8 @@
 			f.figures.inProgress.Add(-1)
 		}
 	}()
-	conn := r.Context().Value(connKey{}).(*framedConn)
-	departed := make(chan struct{})
-	conn.follow(sync.OnceFunc(func() { close(departed) }))
+	conn := connOf(r)
+	departed := conn.follow()
 	defer conn.unfollow()
 	left := r.Context().Done() // also where its body did not come
 	f.post(arrived{q})
@@ -383,8 +382,8 @@
 		return true, false
 	}
 	unhook := context.AfterFunc(r.Context(), func() {
-		if r.Context().Value(connKey{}).(*framedConn).leaves() {
-			a.more.conn.SetReadDeadline(time.Unix(0, 1))
+		if connOf(r).leaves() {
+			a.more.conn.SetReadDeadline(past)
 		}
 	})
 	defer func() {
@@ -425,6 +424,9 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// connOf is a request's connection; all come from a framedListener.
+func connOf(r *http.Request) *framedConn { return r.Context().Value(connKey{}).(*framedConn) }
+
 const (
 	// slowestBody is the pace, in bytes a second, at which a client may send a body: half of what is promised.
 	slowestBody = 32 << 10
@@ -492,9 +494,7 @@
 	var body []byte
 	more := false
 	if r.ContentLength != 0 {
-		if c, ok := r.Context().Value(connKey{}).(*framedConn); ok {
-			u.credit = min(slowClient, max(leastCredit, overdue-(at-c.headAt)))
-		}
+		u.credit = min(slowClient, max(leastCredit, overdue-(at-connOf(r).headAt)))
 		var err error
 		var whole bool
 		body, whole, err = f.held.hold(u, r.ContentLength, func() bool { return false })
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -54,7 +54,7 @@
 	open := func(s http.ConnState) net.Conn {
 		c, peer := net.Pipe()
 		t.Cleanup(func() { c.Close(); peer.Close() })
-		framed := &framedConn{Conn: c, now: f.now, fresh: true}
+		framed := &framedConn{Conn: c, now: f.now}
 		f.count(framed, http.StateNew)
 		if s == http.StateNew {
 			return c
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -324,11 +324,7 @@
 	a.message, a.head = message{}, nil // an alarm may keep the attempt
 	delete(a.peer.out, a)
 	if s := e.result.more; s == nil {
-		if a.given.Load() && e.result.conn != nil { // as its answer came
-			l.shut(e.result.conn)
-		} else {
-			l.keep(a.peer, e.result.conn)
-		}
+		l.keep(a.peer, e.result.conn)
 	} else if s.peer = a.peer; a.told || a.req.closed {
 		l.shut(s.conn)
 	}
@@ -594,6 +590,8 @@
 	switch {
 	case c == nil:
 		l.conns--
+	case c.ended: // as its answer came
+		l.shut(c)
 	case l.leaving || p.state != sprucehill.Active || c.RemoteAddr().String() != p.address:
 		l.shut(c)
 	case c.SetDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -110,7 +110,7 @@
 	other, peer := net.Pipe()
 	defer other.Close()
 	defer peer.Close()
-	f.count(&framedConn{Conn: other, now: f.now, fresh: true}, http.StateNew) // one too many: it is closed itself
+	f.count(&framedConn{Conn: other, now: f.now}, http.StateNew) // one too many: it is closed itself
 	if _, err := peer.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the new connection: %v, want its end", err)
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -33,6 +33,7 @@
 	limit  *io.LimitedReader // what one answer may still come to
 	in     *bufio.Reader     // reads from limit
 	idleAt time.Duration     // on the loop's clock
+	ended  bool              // the loop: it has been given up
 }
 
 // maxAnswer bounds an answer with its head, its framing and what comes before it: an upstream that goes on and on must
@@ -66,10 +67,11 @@
 // giveUp ends the attempt on the connection, from outside. Its sending has ended when giveUp returns, which is what gives an
 // attempt up: one that follows must not be out beside it where the settings forbid that. Its reader then closes it.
 func (c *conn) giveUp() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	c.ended = true
+	if half, ok := c.Conn.(halfCloser); ok {
 		half.CloseWrite()
 	}
-	c.SetDeadline(time.Unix(0, 1))
+	c.SetDeadline(past)
 }
 
 // The stages of an attempt. The loop may drop one that waits for its connection;
@@ -102,13 +104,18 @@
 // claim takes the attempt for writing at a time. False: it has been dropped, or its connection came up so late that it
 // would be a repeat which upstreams do not know as one any more, and is dropped now.
 func (a *attempt) claim(now time.Duration) bool {
-	if !a.req.window.open(now) {
+	w := &a.req.window
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.ContainsFunc(w.ran, func(x ran) bool { return now-x.at >= w.span }) {
 		a.drop()
 	}
 	if !a.stage.CompareAndSwap(waiting, claimed) {
 		return false
 	}
-	a.req.window.sent(a, now)
+	if w.span > 0 {
+		w.ran = append(w.ran, ran{a, now})
+	}
 	return true
 }
 
@@ -117,7 +124,7 @@
 type window struct {
 	span time.Duration // from the first attempt that may have run; 0: nothing is bound
 	mu   sync.Mutex
-	ran  []ran
+	ran  []ran // nothing where nothing is bound
 }
 
 // ran is an attempt that may have run, and when its first byte was about to be written.
@@ -126,22 +133,6 @@
 	at time.Duration
 }
 
-// open tells whether an attempt may still be written.
-func (w *window) open(now time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.span == 0 || !slices.ContainsFunc(w.ran, func(x ran) bool { return now-x.at >= w.span })
-}
-
-// sent notes that an attempt is written from now on.
-func (w *window) sent(a *attempt, now time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.span > 0 {
-		w.ran = append(w.ran, ran{a, now})
-	}
-}
-
 // never notes that an attempt has certainly not run: it binds no other.
 func (w *window) never(a *attempt) {
 	w.mu.Lock()
