--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,9 +15,6 @@
 // Add counts one more.
 func (c *Counter) Add() { c.n.Add(1) }
 
-// Value is the count.
-func (c *Counter) Value() int { return int(c.n.Load()) }
-
 // Gauge is how many there are now.
 type Gauge struct{ n atomic.Int64 }
 
@@ -27,9 +24,6 @@
 // Set puts the gauge to n.
 func (g *Gauge) Set(n int) { g.n.Store(int64(n)) }
 
-// Value is how many there are now.
-func (g *Gauge) Value() int { return int(g.n.Load()) }
-
 // Label tells figures of one name apart.
 type Label struct{ Name, Value string }
 
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -87,21 +87,25 @@
 	<-asked.done
 }
 
-// await waits until something is so, as the loop sees it. Only a failure takes long.
-func (b *balancer) await(t *testing.T, what string, is func(l *loop) bool) {
+// eventually waits until something is so. Only a failure takes long.
+func eventually(t testing.TB, what string, is func() bool) {
 	t.Helper()
-	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
-		done := false
-		b.inLoop(t, func(l *loop) { done = is(l) })
-		if done {
-			return
-		}
+	for limit := time.Now().Add(30 * time.Second); !is(); time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatalf("never so: %s", what)
 		}
 	}
 }
 
+// await waits until something is so, as the loop sees it.
+func (b *balancer) await(t *testing.T, what string, is func(l *loop) bool) {
+	t.Helper()
+	eventually(t, what, func() (done bool) {
+		b.inLoop(t, func(l *loop) { done = is(l) })
+		return done
+	})
+}
+
 // settled waits until nothing is held or out any more, and every connection that is counted idles.
 func (b *balancer) settled(t *testing.T) {
 	t.Helper()
@@ -112,15 +116,9 @@
 		}
 		return len(l.requests) == 0 && out == 0 && idle == l.conns && len(l.due) == 0
 	})
-	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
-		held, busy := b.proxy.loop.dial.held.free.Load(), b.proxy.loop.figures.inProgress.Value()
-		if held == b.proxy.config.heldBytes() && busy == 0 {
-			return
-		}
-		if time.Now().After(limit) {
-			t.Fatalf("bytes to hold: %d of %d; requests in progress: %d", held, b.proxy.config.heldBytes(), busy)
-		}
-	}
+	eventually(t, "no bytes held, no requests in progress", func() bool {
+		return b.proxy.loop.dial.held.free.Load() == b.proxy.config.heldBytes() && b.figure(t, "svc_in_progress") == 0
+	})
 }
 
 // leaveTaken waits until nothing is owed any more: every client has its answer, or has been seen to leave.
@@ -132,8 +130,9 @@
 				return false
 			}
 		}
-		return l.figures.inProgress.Value() == 0
+		return true
 	})
+	eventually(t, "no request in progress", func() bool { return b.figure(t, "svc_in_progress") == 0 })
 }
 
 // raw writes a request on a connection of its own, and leaves the answer to the test.
@@ -260,12 +259,6 @@
 	}
 }
 
-// ended is how many requests of a class have got an answer, of whatever kind.
-func (f *figures) ended(class string) int {
-	o := f.classes[class]
-	return o.passed.Value() + o.dropped.Value() + o.badGateway.Value()
-}
-
 // A client's leave is seen behind bytes that nobody reads while its request waits: part of a next request, in one piece with
 // the first or later, a whole one, or more than is kept. Where it was not, the request was sent on when its connection
 // came up.
@@ -288,7 +281,9 @@
 				}
 				c.Close()
 				b.leaveTaken(t)
-				want(t, "answers", b.proxy.loop.figures.ended("pay"), 0)
+				for _, answers := range []string{"passed", "dropped", "bad_gateway"} {
+					want(t, answers, b.figure(t, "svc_"+answers+`{category="pay"}`), 0)
+				}
 				g.lift()
 				b.settled(t)
 				want(t, "requests at the upstream", len(s.arrivals), 0)
@@ -301,11 +296,7 @@
 // closed waits until no client's connection is open any more.
 func (b *balancer) closed(t *testing.T) {
 	t.Helper()
-	for limit := time.Now().Add(30 * time.Second); b.proxy.front.open() > 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(limit) {
-			t.Fatal("a client's connection stays open")
-		}
-	}
+	eventually(t, "no client's connection is open", func() bool { return b.proxy.front.open() == 0 })
 }
 
 // What comes behind a request that waits is neither lost nor looked at too soon: whole requests are answered in their turn,
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -91,17 +91,11 @@
 // quiet waits until so many connections have come and ended: all that was written to them has been read.
 func (s *server) quiet(t *testing.T, conns int) {
 	t.Helper()
-	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+	eventually(t, fmt.Sprintf("%d connections have come and ended", conns), func() bool {
 		s.mu.Lock()
-		came, ended := s.conns, s.ended
-		s.mu.Unlock()
-		if came == conns && ended == conns {
-			return
-		}
-		if time.Now().After(limit) {
-			t.Fatalf("%d connections have come and %d ended, want %d", came, ended, conns)
-		}
-	}
+		defer s.mu.Unlock()
+		return s.conns == conns && s.ended == conns
+	})
 }
 
 func (s *server) opened() int {
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -35,11 +35,7 @@
 		t.Fatal(err)
 	}
 	x.rest = text.String()[half:]
-	for limit := time.Now().Add(30 * time.Second); !b.proxy.front.midway(); time.Sleep(time.Millisecond) {
-		if time.Now().After(limit) {
-			t.Fatal("the head was never read")
-		}
-	}
+	eventually(t, "the head has been read in part", b.proxy.front.midway)
 	return x
 }
 
@@ -260,11 +256,7 @@
 					sent++
 				}
 				f := b.proxy.front
-				for limit := time.Now().Add(30 * time.Second); !f.allRest(); time.Sleep(time.Millisecond) {
-					if time.Now().After(limit) {
-						t.Fatal("the connection never rests")
-					}
-				}
+				eventually(t, "the connection rests", f.allRest)
 				r.armed.Store(true)
 				ask()
 				<-r.taken
@@ -280,12 +272,10 @@
 					begun{Conn: c, in: in}.answer(t, 200)
 					sent++
 				}
-				for limit := time.Now().Add(30 * time.Second); f.open() > 0; time.Sleep(time.Millisecond) {
+				eventually(t, "the connection is closed", func() bool {
 					f.closeIdle(0)
-					if time.Now().After(limit) {
-						t.Fatal("the connection stays open")
-					}
-				}
+					return f.open() == 0
+				})
 				b.settled(t)
 				want(t, "requests at the upstream", len(s.arrivals), sent)
 			})
