Work out once a change who counts of each name, not three times a tick

Read again: Fenced, Settle and Agreement each built the same map anew ten times a second, which changes only when the view does. It is kept beside the view and thrown away with it. Reading a status looked at the head of a line twice. Behaviour is as it was. Packages membership and the command with -race once: passed.

--- a/internal/membership/book.go
+++ b/internal/membership/book.go
@@ -69,7 +69,8 @@
 	lost    map[process]*gone
 	settled map[string]bool // names of the members that last agreed
 	changes []Change
-	view    *View // as it is now; nil: to be made anew
+	counts  map[string]*entry // the process that counts of each name, as it is now; nil: to be made anew
+	view    *View             // the same
 	digest  uint64
 }
 
@@ -84,13 +85,13 @@
 	p := m.process()
 	if e := b.alive[p]; e != nil {
 		if was := e.Member; was != m {
-			b.view, e.Member = nil, m
+			b.view, b.counts, e.Member = nil, nil, m
 			b.changes = append(b.changes, Change{Kind: Changed, Member: m, Was: was.State})
 		}
 		return
 	}
 	_, back := b.lost[p]
-	b.view = nil
+	b.view, b.counts = nil, nil
 	b.alive[p] = &entry{Member: m, since: now, doubtful: back}
 	if !back {
 		b.changes = append(b.changes, Change{Kind: Joined, Member: m})
@@ -105,7 +106,7 @@
 	if e == nil || p == b.self {
 		return
 	}
-	b.view = nil
+	b.view, b.counts = nil, nil
 	delete(b.alive, p)
 	kind := Lost
 	if left {
@@ -145,7 +146,7 @@
 	if !e.doubtful {
 		return
 	}
-	b.view, e.doubtful = nil, false
+	b.view, b.counts, e.doubtful = nil, nil, false
 	delete(b.lost, e.process())
 	b.changes = append(b.changes, Change{Kind: Returned, Member: e.Member})
 	b.supersede(e.Name)
@@ -181,15 +182,18 @@
 	return cmp.Or(cmp.Compare(x.name, y.name), cmp.Compare(x.incarnation, y.incarnation))
 }
 
-// newest is the process that counts of each name.
+// newest is the process that counts of each name. It is the book's own, to be read only.
 func (b *Book) newest() map[string]*entry {
-	all := map[string]*entry{}
+	if b.counts != nil {
+		return b.counts
+	}
+	b.counts = map[string]*entry{}
 	for _, e := range b.alive {
-		if other := all[e.Name]; !e.doubtful && (other == nil || e.Incarnation > other.Incarnation) {
-			all[e.Name] = e
+		if other := b.counts[e.Name]; !e.doubtful && (other == nil || e.Incarnation > other.Incarnation) {
+			b.counts[e.Name] = e
 		}
 	}
-	return all
+	return b.counts
 }
 
 // Tick does what time brings: it takes those back that are still there, and forgets the long lost.
--- a/internal/membership/text.go
+++ b/internal/membership/text.go
@@ -32,12 +32,11 @@
 func ReadStatus(lines []string) (s Status, digest uint64, err error) {
 	for _, line := range lines {
 		var state string
-		m, d := Member{}, &s.Division
-		switch {
-		case strings.HasPrefix(line, "self "):
+		m, d, self := Member{}, &s.Division, strings.HasPrefix(line, "self ")
+		if self {
 			_, err = fmt.Sscanf(line, selfForm, &m.Name, &m.Incarnation, &state, &s.Fenced, &s.Minority, &digest,
 				&s.Same, &s.Other, &s.Lost, &s.Refused, &s.Grumbles, &d.Balancers, &d.Rank, &d.Most)
-		default:
+		} else {
 			_, err = fmt.Sscanf(line, memberForm, &m.Name, &m.Incarnation, &state, &m.Zone, &m.Region, &m.Version, &m.Capacity,
 				&m.Config, &m.Address)
 		}
@@ -49,7 +48,7 @@
 				m.State = State(i)
 			}
 		}
-		if strings.HasPrefix(line, "self ") {
+		if self {
 			s.Self = m
 		} else {
 			s.View.Members = append(s.View.Members, m)
