--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -53,7 +53,8 @@
 	limitResources(config)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	slog.Info("starting", "name", config.Name, "listen", config.Listen, "known", len(config.Known.Members))
+	slog.Info("starting", "name", config.Name, "listen", config.Listen, "known", len(config.Known.Members),
+		"management", config.Management, "inherits", config.ListenFD != 0)
 	listener, err := config.OpenListener()
 	if err != nil {
 		return err
@@ -88,6 +89,7 @@
 	if err != nil {
 		return config, file, err
 	}
+	slog.SetLogLoggerLevel(file.Log.MinLevel())
 	if handler := file.Log.Handler(); handler != nil {
 		slog.SetDefault(slog.New(handler))
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,6 +30,7 @@
 		{"[regions]\nx = [\"a/b\"]\n", `f.toml: regions.x: "a/b" is no name of a zone`},
 		{"[regions]\n\"x/y\" = [\"a\"]\n", `f.toml: regions: "x/y" is no name of a region`},
 		{"[log]\nformat = \"xml\"\n", `f.toml: log.format: "xml" is none of`},
+		{"[log]\nlevel = \"loud\"\n", `f.toml: log.level: "loud" is neither info nor debug`},
 		{"[log\n", "f.toml:1"},
 		{"[membership]\nlisten = \"127.0.0.1:7946\"\n", "f.toml: membership.seeds: is missing"},
 		{"[membership]\nseeds = [\"127.0.0.1:7946\"]\n", "f.toml: membership.listen: is missing"},
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -10,20 +10,32 @@
 type Log struct {
 	// Format is plain (the same as without the file), text (key=value) or json.
 	Format string `toml:"format"`
+	// Level is info (the same as without the file) or debug, with a line for each request and attempt.
+	Level string `toml:"level"`
 }
 
 // logHandlers has what makes the handler of each format. It is nil for the default logger of package slog.
-var logHandlers = map[string]func() slog.Handler{
+var logHandlers = map[string]func(*slog.HandlerOptions) slog.Handler{
 	"":      nil,
 	"plain": nil,
-	"text":  func() slog.Handler { return slog.NewTextHandler(os.Stderr, nil) },
-	"json":  func() slog.Handler { return slog.NewJSONHandler(os.Stderr, nil) },
+	"text":  func(o *slog.HandlerOptions) slog.Handler { return slog.NewTextHandler(os.Stderr, o) },
+	"json":  func(o *slog.HandlerOptions) slog.Handler { return slog.NewJSONHandler(os.Stderr, o) },
+}
+
+// logLevels has the levels by their names.
+var logLevels = map[string]slog.Level{
+	"":      slog.LevelInfo,
+	"info":  slog.LevelInfo,
+	"debug": slog.LevelDebug,
 }
 
 func (l Log) validate() error {
 	if _, known := logHandlers[l.Format]; !known {
 		return fmt.Errorf("log.format: %q is none of plain, text and json", l.Format)
 	}
+	if _, known := logLevels[l.Level]; !known {
+		return fmt.Errorf("log.level: %q is neither info nor debug", l.Level)
+	}
 	return nil
 }
 
@@ -33,5 +45,8 @@
 	if newHandler == nil {
 		return nil
 	}
-	return newHandler()
+	return newHandler(&slog.HandlerOptions{Level: l.MinLevel()})
 }
+
+// MinLevel is the lowest level that is written.
+func (l Log) MinLevel() slog.Level { return logLevels[l.Level] }
--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +11,9 @@
 // evictionMinIdle is how long a connection must have been idle before it may be closed to make room for a new one.
 const evictionMinIdle = 2 * time.Second
 
+// maxLoggedConns is how many open connections are logged one by one.
+const maxLoggedConns = 8
+
 // connStatus is the state of a client connection and when it was entered, on the loop's clock.
 type connStatus struct {
 	state http.ConnState
@@ -23,9 +27,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(f.conns, conn)
+		f.forget(conn)
 		return
 	}
+	f.metrics.conns.moved(f.conns[conn].state, state, f.isTracked(conn))
 	f.conns[conn] = connStatus{state: state, since: f.now()}
 	if state == http.StateIdle {
 		conn.onAnswered()
@@ -35,6 +40,21 @@
 	}
 }
 
+// isTracked reports whether a connection is among the open ones. The lock is held.
+func (f *frontend) isTracked(conn *framingConn) bool {
+	_, tracked := f.conns[conn]
+	return tracked
+}
+
+// forget removes a connection from the open ones. The lock is held.
+func (f *frontend) forget(conn *framingConn) {
+	if !f.isTracked(conn) {
+		return
+	}
+	f.metrics.conns.removed(f.conns[conn].state)
+	delete(f.conns, conn)
+}
+
 // evict closes the connection that has been idle for longest, or newcomer if there is none. The lock is held.
 func (f *frontend) evict(newcomer *framingConn) {
 	victim := newcomer
@@ -45,11 +65,12 @@
 			since = status.since
 		}
 	}
-	if !victim.closeIfIdle() { // a request has just begun on it
+	if !victim.closeIfIdle() && !victim.isShut() { // a request has just begun on it
 		victim = newcomer
 		newcomer.Close()
 	}
-	delete(f.conns, victim) // net/http reports it as closed only once its goroutine has noticed
+	f.metrics.conns.countClose(closedByLimit)
+	f.forget(victim) // net/http reports it as closed only once its goroutine has noticed
 }
 
 // nearConnLimit reports whether connections are so many that each should close after its response.
@@ -60,15 +81,33 @@
 }
 
 // closeIdleConns closes the connections between two requests, and those that have been in their state for minSilence
-// without beginning a request.
-func (f *frontend) closeIdleConns(minSilence time.Duration) {
+// without beginning a request. The cause is for the metrics.
+func (f *frontend) closeIdleConns(minSilence time.Duration, cause closeCause) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	for conn, status := range f.conns {
-		if status.state == http.StateIdle || now-status.since >= minSilence {
-			conn.closeIfIdle()
+		if status.state != http.StateIdle && now-status.since < minSilence {
+			continue
+		}
+		if closedNow := conn.closeIfIdle(); closedNow {
+			f.metrics.conns.countClose(cause)
+		}
+	}
+}
+
+// logOpenConns logs the open connections, maxLoggedConns at most.
+func (f *frontend) logOpenConns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	logged := 0
+	for conn, status := range f.conns {
+		if logged == maxLoggedConns {
+			return
 		}
+		logged++
+		slog.Info("client connection open", "client", conn.RemoteAddr(), "state", status.state,
+			"for", (f.now() - status.since).Round(time.Millisecond), "idle", conn.isIdle(), "answered", conn.answeredCount())
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/connmetrics.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"net/http"
+
+	"sprucehill/internal/metrics"
+)
+
+// closeCause is why the balancer closes a client's connection.
+type closeCause string
+
+const (
+	closedByDrain    closeCause = "drain"     // operators have asked for a drain
+	closedByShutdown closeCause = "shutdown"  // the process ends
+	closedByLimit    closeCause = "limit"     // there are too many connections
+	closedByRequest  closeCause = "malformed" // the end of a request is in doubt, or its body is not read
+)
+
+// connMetrics counts client connections. Its methods may be called from any goroutine.
+type connMetrics struct {
+	open   map[http.ConnState]*metrics.Gauge
+	closed map[closeCause]*metrics.Counter
+}
+
+func newConnMetrics(set *metrics.Set) connMetrics {
+	m := connMetrics{open: map[http.ConnState]*metrics.Gauge{}, closed: map[closeCause]*metrics.Counter{}}
+	for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+		m.open[state] = set.Gauge("svc_client_connections", metrics.Label{Name: "state", Value: state.String()})
+	}
+	for _, cause := range []closeCause{closedByDrain, closedByShutdown, closedByLimit, closedByRequest} {
+		m.closed[cause] = set.Counter("svc_client_closes", metrics.Label{Name: "cause", Value: string(cause)})
+	}
+	return m
+}
+
+// moved notes a connection that enters a state, from the former one if it was tracked before.
+func (m connMetrics) moved(from, to http.ConnState, tracked bool) {
+	if tracked {
+		m.open[from].Add(-1)
+	}
+	m.open[to].Add(1)
+}
+
+// removed notes that a connection in a state is not open any more.
+func (m connMetrics) removed(from http.ConnState) { m.open[from].Add(-1) }
+
+// countClose counts a connection that is closed, now or after its response.
+func (m connMetrics) countClose(cause closeCause) { m.closed[cause].Inc() }
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -42,6 +42,13 @@
 		}
 	}
 
+	assertEqual(t, "idle and silent connections closed", b.metric(t, `svc_client_closes{cause="drain"}`) >= 4, true)
+	assertEqual(t, "closed by limit", b.metric(t, `svc_client_closes{cause="limit"}`), 0)
+	eventually(t, "no connection is open", func() bool {
+		return b.metric(t, `svc_client_connections{state="new"}`)+b.metric(t, `svc_client_connections{state="active"}`)+
+			b.metric(t, `svc_client_connections{state="idle"}`) == 0
+	})
+
 	for range 2 {
 		b.proxy.Drain(false)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,7 +1,20 @@
 package proxy
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
+	"time"
+)
+
+// requestEnd is how a request ended for its client.
+type requestEnd string
+
+const (
+	endAnswered     requestEnd = "answered"
+	endBrokenOff    requestEnd = "response broken off"
+	endDisconnected requestEnd = "client disconnected"
+	endBodyFailed   requestEnd = "body not complete"
 )
 
 // exchange is one client request from the moment it has been parsed until its response is written.
@@ -11,13 +24,16 @@
 	httpRequest *http.Request
 	request     *request
 	body        *requestBody
+	end         requestEnd
+	status      int // of the response; 0: there is none
 }
 
 // serve posts the request to the loop and writes the loop's response, unless the client disconnects first.
 func (x *exchange) serve() {
 	conn := connOf(x.httpRequest)
+	defer x.logEnd(time.Now())
 	if conn.closedByClient() {
-		x.abort()
+		x.abort(endDisconnected)
 		return
 	}
 	inProgress := x.frontend.metrics.inProgress
@@ -46,15 +62,15 @@
 			return
 		case <-contextDone:
 			if !conn.hasFramingError() {
-				x.abandon()
+				x.abandon(endDisconnected)
 				return
 			}
 			contextDone = nil // only what follows the request is malformed; the request is answered all the same
 		case <-disconnected:
-			x.abandon()
+			x.abandon(endDisconnected)
 			return
 		case <-x.body.failed:
-			x.abandon()
+			x.abandon(endBodyFailed)
 			return
 		}
 	}
@@ -69,10 +85,14 @@
 func (x *exchange) reply(a response) {
 	defer x.frontend.bodyBudget.release(cap(a.body))
 	if !x.received() { // the rest of its body is not read
-		closeAfterResponse(x.writer)
+		x.frontend.closeAfterResponse(x.writer, closedByRequest)
 	}
 	result := x.write(a)
-	if result != clientGone {
+	x.status = a.status
+	x.end = endOf[result]
+	if result == clientGone {
+		x.frontend.metrics.countAbandoned(x.request.Class)
+	} else {
 		x.frontend.metrics.countAnswer(x.request.Class, a.status, result == delivered)
 	}
 	if result != delivered {
@@ -80,19 +100,40 @@
 	}
 }
 
+// endOf is how a request has ended, by what came of writing its response.
+var endOf = map[delivery]requestEnd{
+	delivered:  endAnswered,
+	brokenOff:  endBrokenOff,
+	clientGone: endDisconnected,
+}
+
 // abandon tells the loop that the client is gone, and ends the request.
-func (x *exchange) abandon() {
+func (x *exchange) abandon(why requestEnd) {
 	x.frontend.post(clientDisconnected{x.request})
-	x.abort()
+	x.abort(why)
 }
 
 // abort ends a request that gets no response from the loop.
-func (x *exchange) abort() {
+func (x *exchange) abort(why requestEnd) {
+	x.end = why
+	x.frontend.metrics.countAbandoned(x.request.Class)
 	if x.received() {
 		// Returning would make net/http answer 200, and the client may only have closed its sending side.
 		panic(http.ErrAbortHandler)
 	}
 	extendWriteDeadline(x.body.control)
-	closeAfterResponse(x.writer)
+	x.frontend.closeAfterResponse(x.writer, closedByRequest)
 	http.Error(x.writer, "the body did not come whole", http.StatusRequestTimeout)
 }
+
+// logEnd logs how the request ended, where the log has that much detail.
+func (x *exchange) logEnd(began time.Time) {
+	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	header := x.httpRequest.Header
+	slog.Debug("request ended", "id", header.Get("X-Request-Id"), "class", x.request.Class, "retry", x.request.Retry,
+		"end", string(x.end), "status", x.status, "after", time.Since(began).Round(time.Millisecond),
+		"timeout", x.request.Timeout.Round(time.Millisecond), "closes", x.writer.Header().Get("Connection") == "close",
+		"client", x.httpRequest.RemoteAddr)
+}
--- a/internal/proxy/framingconn.go
+++ b/internal/proxy/framingconn.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// answeredCount is how many requests have been answered on the connection.
+func (c *framingConn) answeredCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
 // arrivedAt is when the last byte of the present request came, on the loop's clock, or now if it has not come. A request
 // that was sent behind another may have come long before its turn.
 func (c *framingConn) arrivedAt() time.Duration {
@@ -64,18 +71,25 @@
 	return c.scan.atRequestStart() && c.scan.requestCount == c.answered
 }
 
-// closeIfIdle closes the connection if it is between two requests, and reports whether it was. Its client then sends
+// closeIfIdle closes the connection if it is between two requests, and reports whether this call has closed it. Its client then sends
 // again any request that crosses the close, so that request must not be forwarded as well: bytes that have been taken from
 // the network but not been scanned when the connection is closed are given to nobody.
 func (c *framingConn) closeIfIdle() bool {
 	c.mu.Lock()
-	c.shut = c.shut || c.isIdleLocked()
-	shut := c.shut
+	closes := !c.shut && c.isIdleLocked()
+	c.shut = c.shut || closes
 	c.mu.Unlock()
-	if shut {
+	if closes {
 		c.Close()
 	}
-	return shut
+	return closes
+}
+
+// isShut reports whether closeIfIdle has closed the connection.
+func (c *framingConn) isShut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut
 }
 
 // hasFramingError reports whether reading has ended for a framing error, and not because the client disconnected.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -108,11 +108,11 @@
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A connection that closes after its response can't be in use when the listener closes; and near the connection limit,
 	// new clients need its descriptor.
-	if f.shuttingDown.Load() || f.draining.Load() || f.nearConnLimit() {
-		closeAfterResponse(w)
+	if cause, closes := f.closesConns(); closes {
+		f.closeAfterResponse(w, cause)
 	}
 	if err := checkFraming(r); err != nil {
-		closeAfterResponse(w) // nothing behind this request on its connection can be trusted
+		f.closeAfterResponse(w, closedByRequest) // nothing behind this request on its connection can be trusted
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -123,7 +123,7 @@
 	request, body, err := f.parseRequest(w, r)
 	if err != nil {
 		if r.ContentLength != 0 { // the rest of its body is not read
-			closeAfterResponse(w)
+			f.closeAfterResponse(w, closedByRequest)
 		}
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -134,8 +134,24 @@
 	x.serve()
 }
 
+// closesConns reports whether each connection is to be closed once its present request is answered, and why.
+func (f *frontend) closesConns() (cause closeCause, closes bool) {
+	switch {
+	case f.shuttingDown.Load():
+		return closedByShutdown, true
+	case f.draining.Load():
+		return closedByDrain, true
+	case f.nearConnLimit():
+		return closedByLimit, true
+	}
+	return "", false
+}
+
 // closeAfterResponse makes net/http close the connection once the present request is answered.
-func closeAfterResponse(w http.ResponseWriter) {
+func (f *frontend) closeAfterResponse(w http.ResponseWriter, cause closeCause) {
+	if w.Header().Get("Connection") == "" { // not asked for before
+		f.metrics.conns.countClose(cause)
+	}
 	w.Header().Set("Connection", "close")
 }
 
--- a/internal/proxy/idleclose_test.go
+++ b/internal/proxy/idleclose_test.go
@@ -76,7 +76,7 @@
 				ask()
 				<-r.taken
 				if first == "close" {
-					f.closeIdleConns(0)
+					f.closeIdleConns(0, closedByDrain)
 				}
 				close(r.back)
 				if first == "close" {
@@ -88,7 +88,7 @@
 					sent++
 				}
 				eventually(t, "the connection is closed", func() bool {
-					f.closeIdleConns(0)
+					f.closeIdleConns(0, closedByDrain)
 					return f.openConns() == 0
 				})
 				b.awaitSettled(t)
--- a/internal/proxy/logwriter.go
+++ b/internal/proxy/logwriter.go
@@ -10,8 +10,9 @@
 
 // logEntry is a line of the log: constant text, and keys with their values as in slog.Info.
 type logEntry struct {
-	text string
-	keys []any
+	level slog.Level
+	text  string
+	keys  []any
 }
 
 // logWriter writes the loop's log from a goroutine of its own, so that a log that blocks never delays the loop. Its
@@ -25,9 +26,23 @@
 }
 
 // info queues an entry. One that the queue has no capacity for is lost.
-func (w *logWriter) info(text string, keys ...any) {
+func (w *logWriter) info(text string, keys ...any) { w.add(logEntry{slog.LevelInfo, text, keys}) }
+
+// debug queues an entry if the log has that much detail.
+func (w *logWriter) debug(text string, keys ...any) {
+	if w.detailed() {
+		w.add(logEntry{slog.LevelDebug, text, keys})
+	}
+}
+
+// detailed reports whether debug entries are written.
+func (w *logWriter) detailed() bool {
+	return slog.Default().Enabled(context.Background(), slog.LevelDebug)
+}
+
+func (w *logWriter) add(entry logEntry) {
 	select {
-	case w.entries <- logEntry{text, keys}:
+	case w.entries <- entry:
 	default:
 	}
 }
@@ -37,7 +52,7 @@
 	for {
 		select {
 		case entry := <-w.entries:
-			slog.Info(entry.text, entry.keys...)
+			slog.Log(ctx, entry.level, entry.text, entry.keys...)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -20,6 +20,7 @@
 	inProgress       *metrics.Gauge           // requests that have arrived completely and have not ended
 	knownEndpoints   *metrics.Gauge           // endpoints in the list
 	skippedEndpoints *metrics.Gauge           // those of them that the decision module avoids
+	conns            connMetrics
 }
 
 // classCounters counts the requests of a class by their one final answer.
@@ -27,6 +28,7 @@
 	passed     *metrics.Counter // an upstream's response, passed on completely
 	dropped    *metrics.Counter // rejected: certainly not executed
 	badGateway *metrics.Counter // all others; they may have been executed
+	abandoned  *metrics.Counter // the client left before the answer, or did not send its body completely
 }
 
 func newProxyMetrics(classes []balancer.Class) *proxyMetrics {
@@ -37,15 +39,20 @@
 			passed:     m.set.Counter("svc_passed", category),
 			dropped:    m.set.Counter("svc_dropped", category),
 			badGateway: m.set.Counter("svc_bad_gateway", category),
+			abandoned:  m.set.Counter("svc_abandoned", category),
 		}
 	}
 	m.attemptsWritten = m.set.Counter("svc_upstream_tries")
 	m.inProgress = m.set.Gauge("svc_in_progress")
 	m.knownEndpoints = m.set.Gauge("svc_known_upstreams")
 	m.skippedEndpoints = m.set.Gauge("svc_skipped_upstreams")
+	m.conns = newConnMetrics(&m.set)
 	return m
 }
 
+// countAbandoned counts a request whose client left before its answer, or did not send its body completely.
+func (m *proxyMetrics) countAbandoned(class string) { m.classes[class].abandoned.Inc() }
+
 // countAnswer counts a request under the answer that its client got. complete is false where the
 // response broke off: the request has failed.
 func (m *proxyMetrics) countAnswer(class string, status int, complete bool) {
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -22,7 +22,7 @@
 func (x *exchange) write(a response) delivery {
 	header := x.writer.Header()
 	if x.frontend.shuttingDown.Load() { // the shutdown may have begun since the request came
-		closeAfterResponse(x.writer)
+		x.frontend.closeAfterResponse(x.writer, closedByShutdown)
 	}
 	if a.contentType != "" {
 		header.Set("Content-Type", a.contentType)
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"log/slog"
 	"time"
 )
@@ -20,58 +19,15 @@
 	killDelay       = 700 * time.Millisecond
 	killDeadlineCap = 3 * time.Second
 	killMargin      = 100 * time.Millisecond
-
-	// drainIdleGrace is how long idle connections stay open after a drain has begun: health checks come every 0.1 s, and
-	// new connections for 0.2 s more, so a connection closed sooner would come back here.
-	drainIdleGrace = 500 * time.Millisecond
-	// drainSweepInterval is the time between two looks for idle connections during a drain.
-	drainSweepInterval = 100 * time.Millisecond
 )
 
-// setDraining sends clients away, or welcomes them again. While draining, health checks fail, responses close their
-// connections, and idle connections are closed once no more clients are expected. The listener stays open for those that
-// come anyway.
-func (f *frontend) setDraining(on bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if on == (f.cancelDrain != nil) {
-		return
-	}
-	f.draining.Store(on)
-	if !on {
-		f.cancelDrain()
-		f.cancelDrain = nil
-		return
-	}
-	ctx, cancel := context.WithCancel(f.ctx)
-	f.cancelDrain = cancel
-	go f.closeIdleWhileDraining(ctx)
-}
-
-// closeIdleWhileDraining closes idle connections, after drainIdleGrace, until ctx ends.
-func (f *frontend) closeIdleWhileDraining(ctx context.Context) {
-	grace := time.After(drainIdleGrace)
-	sweep := time.NewTicker(drainSweepInterval)
-	defer sweep.Stop()
-	select {
-	case <-grace:
-	case <-ctx.Done():
-	}
-	for ctx.Err() == nil {
-		f.closeIdleConns(drainIdleGrace)
-		select {
-		case <-sweep.C:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // shutDown shuts the frontend down without losing a request: it accepts the connections that are still on their way, closes
 // the listener and idle connections, and returns once every accepted request has been answered. An inherited listener is
 // closed at once: the connections in its queue, and those still to come, belong to the successor process.
 func (f *frontend) shutDown() {
 	f.shutdownAt.Store(int64(f.now()))
 	f.shuttingDown.Store(true)
+	slog.Info("shutting down", "connections", f.openConns())
 	if f.inherited {
 		f.listener.Close()
 		f.post(releaseIdle{})
@@ -91,11 +47,12 @@
 	sweep := time.NewTicker(shutdownSweepInterval)
 	defer sweep.Stop()
 	for f.openConns() > 0 {
-		f.closeIdleConns(shutdownFirstByteTimeout)
+		f.closeIdleConns(shutdownFirstByteTimeout, closedByShutdown)
 		select {
 		case <-sweep.C:
 		case <-limit:
-			slog.Warn("closing client connections", "open", f.openConns())
+			slog.Warn("closing client connections at the time limit", "open", f.openConns())
+			f.logOpenConns()
 			f.server.Close()
 			return
 		}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -156,7 +156,7 @@
 	b.cancel()
 	<-b.proxy.front.acceptEnded // the listener is closed, and idle connections are being closed
 	for range 3 {
-		b.proxy.front.closeIdleConns(0)
+		b.proxy.front.closeIdleConns(0, closedByDrain)
 	}
 	x.end(t)
 	x.answer(t, 200)
@@ -170,7 +170,7 @@
 	b := newBalancer(t, activeMember("s-00000001", s))
 	f := b.proxy.front
 	x := b.sendPartialRequest(t)
-	f.closeIdleConns(0)
+	f.closeIdleConns(0, closedByDrain)
 	f.mu.Lock()
 	for c, status := range f.conns { // it entered its state long ago
 		status.since -= 2 * evictionMinIdle
