Add a failing test of drains that keep connections whose response is awaited

Need: incident of 2026-12-02, a drained balancer still held client connections 4 s after the call.

Change: TestDrainReleasesConnectionsInUse starts the real program with 16 stand-in upstreams over loopback and opens a connection in each state that the beginning of a drain may meet. Each client sends another request as long as its connection is open.

--- /dev/null
+++ b/cmd/balancer/drain_test.go
@@ -0,0 +1,273 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// drainLimit is how long after drain-on a balancer has to have let its clients go.
+	drainLimit = 4 * time.Second
+	// recentRequest is how old a request has to be at drainLimit for its connection to be open still.
+	recentRequest = 2 * time.Second
+	// lateRequest is how long after drain-on no more requests are taken on connections from before.
+	lateRequest = time.Second
+	// drainUpstreams is how many upstreams there are: enough for each request to get its turn at once.
+	drainUpstreams = 16
+	// slowResponse is how long after the drain's beginning the responses come that are awaited then: late enough that a
+	// request behind them is a recent one at drainLimit.
+	slowResponse = 2500 * time.Millisecond
+	// slowUploadPiece is how much of a body is sent at a time, and slowUploadPieces how often in slowResponse.
+	slowUploadPiece  = 16 << 10
+	slowUploadPieces = 10
+)
+
+// rawRequest is a request as it stands on the wire. The query tells slowUpstream how to answer.
+func rawRequest(query, deadlineMs, body string) string {
+	return fmt.Sprintf("POST /c/x?%s HTTP/1.1\r\nHost: b\r\nX-Request-Id: 00000000000000aa\r\nX-Class: c\r\n"+
+		"X-Deadline-Ms: %s\r\nContent-Length: %d\r\n\r\n%s", query, deadlineMs, len(body), body)
+}
+
+// hangingRequest is a request that slowUpstream does not answer in the time of a test.
+var hangingRequest = rawRequest("delay=20s", "20000", "")
+
+// slowUpstream answers after the query's delay, and pauses in the middle of a body of the query's size. With "chunked" the
+// answer has no length.
+func slowUpstream(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	_, _ = io.Copy(io.Discard, r.Body)
+	if !waitOrGone(r, query.Get("delay")) {
+		return
+	}
+	size, _ := strconv.Atoi(query.Get("size"))
+	half := strings.Repeat("x", size/2)
+	if !query.Has("chunked") {
+		w.Header().Set("Content-Length", strconv.Itoa(2*len(half)))
+	}
+	_, _ = io.WriteString(w, half)
+	_ = http.NewResponseController(w).Flush()
+	if !waitOrGone(r, query.Get("pause")) {
+		return
+	}
+	_, _ = io.WriteString(w, half)
+}
+
+// waitOrGone waits for a duration, and reports whether the peer is still there.
+func waitOrGone(r *http.Request, text string) bool {
+	duration, _ := time.ParseDuration(text)
+	select {
+	case <-time.After(duration):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// clientResponse is a response that a client has got.
+type clientResponse struct {
+	sent   time.Time // when its request had been sent completely
+	status int
+	closes bool // the connection ends with it
+}
+
+func (r clientResponse) String() string { return fmt.Sprintf("%d, closes %v", r.status, r.closes) }
+
+// persistentClient uses one connection for as long as the balancer keeps it: a request follows each response at once.
+type persistentClient struct {
+	net.Conn
+	name  string
+	first string // the first request, which is sent again while it is rejected
+
+	mu        sync.Mutex // guards the fields below
+	lastSent  time.Time  // when the last request was sent completely; zero: none was
+	closed    bool       // the balancer has closed the connection
+	responses []clientResponse
+}
+
+// run reads responses, and sends a hanging request behind each that keeps the connection. The balancer may reject a first
+// request, while it knows nothing of its upstreams.
+func (c *persistentClient) run() {
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.closed = true
+	}()
+	in := bufio.NewReader(c)
+	for {
+		response, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return
+		}
+		if response.StatusCode == http.StatusServiceUnavailable && !response.Close && c.first != "" {
+			time.Sleep(healthPollInterval)
+			c.send(c.first)
+			continue
+		}
+		c.first = ""
+		c.mu.Lock()
+		c.responses = append(c.responses, clientResponse{c.lastSent, response.StatusCode, response.Close})
+		c.mu.Unlock()
+		if response.Close {
+			_, _ = in.ReadByte() // the end of the connection
+			return
+		}
+		c.send(hangingRequest)
+	}
+}
+
+// send sends a complete request. Where the connection has ended, the next read tells.
+func (c *persistentClient) send(text string) {
+	_, _ = io.WriteString(c, text)
+	c.sent()
+}
+
+// sent notes that a request has been sent completely.
+func (c *persistentClient) sent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastSent = time.Now()
+}
+
+// complaints returns what a drain that began at a time has missed.
+func (c *persistentClient) complaints(drainedAt time.Time) (complaints []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, response := range c.responses {
+		if after := response.sent.Sub(drainedAt); after > lateRequest {
+			complaints = append(complaints, fmt.Sprintf("a request that came %v after drain-on was taken and got %d",
+				after.Round(time.Millisecond), response.status))
+		}
+	}
+	if c.closed {
+		return complaints
+	}
+	if c.lastSent.IsZero() {
+		return append(complaints, "the connection is held without a request")
+	}
+	if time.Since(c.lastSent) < recentRequest {
+		complaints = append(complaints, fmt.Sprintf("the connection is held for a request that came %v after drain-on",
+			c.lastSent.Sub(drainedAt).Round(time.Millisecond)))
+	}
+	return complaints
+}
+
+// drainClients are connections in each state that the beginning of a drain may meet: what is sent before it.
+var drainClients = []struct {
+	name    string
+	before  string
+	partial bool // before does not end with a complete request
+}{
+	{name: "response awaited", before: rawRequest("delay=2500ms", "8000", "")},
+	{name: "failure at the deadline", before: rawRequest("delay=20s", "2500", "")},
+	{name: "response in parts", before: rawRequest("size=200000&pause=2500ms", "8000", "")},
+	{name: "response in parts without a length", before: rawRequest("size=200000&pause=2500ms&chunked", "8000", "")},
+	{name: "head in part", before: hangingRequest[:40], partial: true},
+	{name: "later head in part", before: rawRequest("", "8000", "") + hangingRequest[:40], partial: true},
+	{name: "silent", partial: true},
+	{name: "body in part", before: rawRequest("", "8000", "abcd")[:len(rawRequest("", "8000", "abcd"))-2], partial: true},
+}
+
+// startDrainClients opens a connection for each of drainClients, and one that uploads.
+func startDrainClients(t *testing.T, address string) []*persistentClient {
+	t.Helper()
+	var clients []*persistentClient
+	for _, x := range drainClients {
+		c := dialPersistent(t, address, x.name)
+		if x.partial {
+			_, _ = io.WriteString(c, x.before)
+		} else {
+			c.first = x.before
+			c.send(x.before)
+		}
+		go c.run()
+		clients = append(clients, c)
+	}
+	upload := dialPersistent(t, address, "upload")
+	go upload.sendSlowly()
+	go upload.run()
+	return append(clients, upload)
+}
+
+func dialPersistent(t *testing.T, address, name string) *persistentClient {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &persistentClient{Conn: conn, name: name}
+}
+
+// sendSlowly sends a body that is longer than what the balancer buffers, in pieces.
+func (c *persistentClient) sendSlowly() {
+	body := strings.Repeat("y", slowUploadPiece*slowUploadPieces)
+	text := rawRequest("", "8000", body)
+	head := len(text) - len(body)
+	_, _ = io.WriteString(c, text[:head])
+	for rest := text[head:]; rest != ""; rest = rest[slowUploadPiece:] {
+		if _, err := io.WriteString(c, rest[:slowUploadPiece]); err != nil {
+			return
+		}
+		time.Sleep(slowResponse / slowUploadPieces)
+	}
+	c.sent()
+}
+
+// What happened: balancers that operators had drained still held client connections 4 s later, each with a request that
+// had come more than 3 s after the drain. Sequence: a request waits for an upstream that hangs; the drain begins; the
+// request is answered, or fails, without "Connection: close"; its client, which uses a connection for as long as it is
+// open, sends the next request on it before the next search for idle connections; that one hangs as well. Cause: whether a
+// response closes its connection was decided once, when its request came, so that a drain that began in the meantime did not
+// count. What settled it: the responses and ages that this test prints, and the log of the balancer, which has "drain
+// begun", and 4 s later "drain goes on" with the open connections.
+func TestDrainReleasesConnectionsInUse(t *testing.T) {
+	operators := freeAddress(t)
+	t.Setenv("RELAY_MANAGEMENT", operators)
+	var upstreams []endpoint
+	for i := range drainUpstreams {
+		actual := serveHTTP(t, "127.0.0.1:0", slowUpstream)
+		upstreams = append(upstreams, endpoint{ID: fmt.Sprintf("s-%08x", i+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1})
+	}
+	agent := startAgent(t, "127.0.0.1:0", upstreams)
+	address := freeAddress(t)
+	patient := strings.Replace(configTemplate, `"target_us":250000,"give_up_us":750000`, `"target_us":20000000,"give_up_us":20000000`, 1)
+	p := startConfigured(t, balancerCommand(t), patient, address, agent, nil)
+	waitFor(t, "the balancer knows its upstreams", func() bool {
+		return strings.Contains(callAll(operators, "vars"), fmt.Sprintf("svc_known_upstreams %d\n", drainUpstreams))
+	})
+	clients := startDrainClients(t, address)
+	waitFor(t, "the requests have begun", func() bool {
+		return strings.Contains(callAll(operators, "vars"), "svc_client_connections{state=\"active\"} 6\n")
+	})
+	drainedAt := time.Now()
+	if answer := callManagement(operators, "drain-on"); answer != "YES draining" {
+		t.Fatalf("drain-on got %q", answer)
+	}
+	time.Sleep(time.Until(drainedAt.Add(drainLimit)))
+	for _, c := range clients {
+		for _, complaint := range c.complaints(drainedAt) {
+			t.Errorf("%s: %s; responses %v", c.name, complaint, c.responses)
+		}
+	}
+	if err := checkHealth(address); err == nil {
+		t.Error("the health check is answered with yes")
+	}
+	p.Process.Kill()
+	if err := <-p.exited; err == nil {
+		t.Error("the process ended by itself")
+	}
+	if t.Failed() {
+		t.Logf("log:\n%s", &p.log)
+	}
+}
--- a/cmd/balancer/process_test.go
+++ b/cmd/balancer/process_test.go
@@ -61,6 +61,7 @@
 // process is a running balancer.
 type process struct {
 	*exec.Cmd
+	template   string // of the configuration
 	configPath string
 	log        bytes.Buffer
 	exited     chan error       // gets the error of Wait
@@ -76,9 +77,16 @@
 // startProcess starts a command of any build at an address for clients and waits until it is healthy. The process
 // inherits the listener of that address if there is one.
 func startProcess(t *testing.T, cmd *exec.Cmd, listen, discovery string, listener *os.File) *process {
+	t.Helper()
+	return startConfigured(t, cmd, configTemplate, listen, discovery, listener)
+}
+
+// startConfigured is startProcess with another configuration than configTemplate.
+func startConfigured(t *testing.T, cmd *exec.Cmd, template, listen, discovery string, listener *os.File) *process {
 	t.Helper()
 	p := &process{
 		Cmd:        cmd,
+		template:   template,
 		configPath: filepath.Join(t.TempDir(), "config.json"),
 		exited:     make(chan error, 1),
 		deadline:   time.After(processTimeout),
@@ -131,7 +139,7 @@
 // writeConfig writes the configuration that the process reads.
 func (p *process) writeConfig(t *testing.T, listen, discovery string) {
 	t.Helper()
-	if err := os.WriteFile(p.configPath, fmt.Appendf(nil, configTemplate, listen, discovery), 0o600); err != nil {
+	if err := os.WriteFile(p.configPath, fmt.Appendf(nil, p.template, listen, discovery), 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
