--- a/cmd/balancer/main_test.go
+++ b/cmd/balancer/main_test.go
@@ -76,7 +76,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	p := &process{Cmd: balancerCommand(t), configPath: filepath.Join(t.TempDir(), "config.json")}
+	p := &process{Cmd: balancerCommand(t), template: configTemplate, configPath: filepath.Join(t.TempDir(), "config.json")}
 	p.writeConfig(t, freeAddress(t), freeAddress(t))
 	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.configPath, "RELAY_MANAGEMENT="+l.Addr().String())
 	out := wantStartFailure(t, p.Cmd, "listening for operators")
