Add failing tests of a slow head in a drain and of streamed responses in a shutdown

Need: the same fault on related paths. A shutdown meets the same connections as a drain, and a client that is slow with its head completes a request long after the call.

Change: the drain's test has a client whose head is complete 2.2 s after the call; TestShutdownReleasesConnectionsInUse sends SIGTERM in place of the call.

--- a/cmd/balancer/drain_test.go
+++ b/cmd/balancer/drain_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -25,6 +26,10 @@
 	// slowResponse is how long after the drain's beginning the responses come that are awaited then: late enough that a
 	// request behind them is a recent one at drainLimit.
 	slowResponse = 2500 * time.Millisecond
+	// lateHeadEnd is when, after the drain's beginning, a request is complete whose client is slow with its head.
+	lateHeadEnd = 2200 * time.Millisecond
+	// exitMargin is how long after the last response the process may still run.
+	exitMargin = 1500 * time.Millisecond
 	// slowUploadPiece is how much of a body is sent at a time, and slowUploadPieces how often in slowResponse.
 	slowUploadPiece  = 16 << 10
 	slowUploadPieces = 10
@@ -83,10 +88,10 @@
 // persistentClient uses one connection for as long as the balancer keeps it: a request follows each response at once.
 type persistentClient struct {
 	net.Conn
-	name  string
-	first string // the first request, which is sent again while it is rejected
+	name string
 
 	mu        sync.Mutex // guards the fields below
+	first     string     // the first request, until it has a response that is no rejection
 	lastSent  time.Time  // when the last request was sent completely; zero: none was
 	closed    bool       // the balancer has closed the connection
 	responses []clientResponse
@@ -109,13 +114,13 @@
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return
 		}
-		if response.StatusCode == http.StatusServiceUnavailable && !response.Close && c.first != "" {
+		if first := c.firstRequest(); response.StatusCode == http.StatusServiceUnavailable && !response.Close && first != "" {
 			time.Sleep(healthPollInterval)
-			c.send(c.first)
+			c.send(first)
 			continue
 		}
-		c.first = ""
 		c.mu.Lock()
+		c.first = ""
 		c.responses = append(c.responses, clientResponse{c.lastSent, response.StatusCode, response.Close})
 		c.mu.Unlock()
 		if response.Close {
@@ -126,29 +131,26 @@
 	}
 }
 
-// send sends a complete request. Where the connection has ended, the next read tells.
-func (c *persistentClient) send(text string) {
-	_, _ = io.WriteString(c, text)
-	c.sent()
+// firstRequest is the first request, or "" once that has its response.
+func (c *persistentClient) firstRequest() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first
 }
 
-// sent notes that a request has been sent completely.
-func (c *persistentClient) sent() {
+// send sends a complete request, or the end of one. Where the connection has ended, the next read tells.
+func (c *persistentClient) send(text string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.lastSent = time.Now()
+	c.mu.Unlock()
+	_, _ = io.WriteString(c, text)
 }
 
 // complaints returns what a drain that began at a time has missed.
 func (c *persistentClient) complaints(drainedAt time.Time) (complaints []string) {
+	complaints = c.takenLate(drainedAt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, response := range c.responses {
-		if after := response.sent.Sub(drainedAt); after > lateRequest {
-			complaints = append(complaints, fmt.Sprintf("a request that came %v after drain-on was taken and got %d",
-				after.Round(time.Millisecond), response.status))
-		}
-	}
 	if c.closed {
 		return complaints
 	}
@@ -162,20 +164,34 @@
 	return complaints
 }
 
+// takenLate returns which requests were taken behind another one after a time, when clients are sent away.
+func (c *persistentClient) takenLate(sentAway time.Time) (complaints []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, response := range c.responses {
+		if after := response.sent.Sub(sentAway); i > 0 && after > lateRequest {
+			complaints = append(complaints, fmt.Sprintf("request %d of the connection came %v after, was taken and got %d",
+				i, after.Round(time.Millisecond), response.status))
+		}
+	}
+	return complaints
+}
+
 // drainClients are connections in each state that the beginning of a drain may meet: what is sent before it.
 var drainClients = []struct {
 	name    string
 	before  string
 	partial bool // before does not end with a complete request
+	active  bool // a request's head has come, and its response is awaited
 }{
-	{name: "response awaited", before: rawRequest("delay=2500ms", "8000", "")},
-	{name: "failure at the deadline", before: rawRequest("delay=20s", "2500", "")},
-	{name: "response in parts", before: rawRequest("size=200000&pause=2500ms", "8000", "")},
-	{name: "response in parts without a length", before: rawRequest("size=200000&pause=2500ms&chunked", "8000", "")},
+	{name: "response awaited", before: rawRequest("delay=2500ms", "8000", ""), active: true},
+	{name: "failure at the deadline", before: rawRequest("delay=20s", "2500", ""), active: true},
+	{name: "response in parts", before: rawRequest("size=200000&pause=2500ms", "8000", ""), active: true},
+	{name: "response in parts without a length", before: rawRequest("size=200000&pause=2500ms&chunked", "8000", ""), active: true},
 	{name: "head in part", before: hangingRequest[:40], partial: true},
 	{name: "later head in part", before: rawRequest("", "8000", "") + hangingRequest[:40], partial: true},
 	{name: "silent", partial: true},
-	{name: "body in part", before: rawRequest("", "8000", "abcd")[:len(rawRequest("", "8000", "abcd"))-2], partial: true},
+	{name: "body in part", before: rawRequest("", "8000", "abcd")[:len(rawRequest("", "8000", "abcd"))-2], partial: true, active: true},
 }
 
 // startDrainClients opens a connection for each of drainClients, and one that uploads.
@@ -196,7 +212,20 @@
 	upload := dialPersistent(t, address, "upload")
 	go upload.sendSlowly()
 	go upload.run()
-	return append(clients, upload)
+	return append(clients, upload, startLateHead(t, address))
+}
+
+// startLateHead opens a connection whose first request is complete only lateHeadEnd after, and hangs then.
+func startLateHead(t *testing.T, address string) *persistentClient {
+	t.Helper()
+	c := dialPersistent(t, address, "late head")
+	_, _ = io.WriteString(c, hangingRequest[:40])
+	go func() {
+		time.Sleep(lateHeadEnd)
+		c.send(hangingRequest[40:])
+	}()
+	go c.run()
+	return c
 }
 
 func dialPersistent(t *testing.T, address, name string) *persistentClient {
@@ -215,13 +244,11 @@
 	text := rawRequest("", "8000", body)
 	head := len(text) - len(body)
 	_, _ = io.WriteString(c, text[:head])
-	for rest := text[head:]; rest != ""; rest = rest[slowUploadPiece:] {
-		if _, err := io.WriteString(c, rest[:slowUploadPiece]); err != nil {
-			return
-		}
+	for rest := text[head:]; len(rest) > slowUploadPiece; rest = rest[slowUploadPiece:] {
+		_, _ = io.WriteString(c, rest[:slowUploadPiece])
 		time.Sleep(slowResponse / slowUploadPieces)
 	}
-	c.sent()
+	c.send(text[len(text)-slowUploadPiece:])
 }
 
 // What happened: balancers that operators had drained still held client connections 4 s later, each with a request that
@@ -232,24 +259,9 @@
 // count. What settled it: the responses and ages that this test prints, and the log of the balancer, which has "drain
 // begun", and 4 s later "drain goes on" with the open connections.
 func TestDrainReleasesConnectionsInUse(t *testing.T) {
-	operators := freeAddress(t)
-	t.Setenv("RELAY_MANAGEMENT", operators)
-	var upstreams []endpoint
-	for i := range drainUpstreams {
-		actual := serveHTTP(t, "127.0.0.1:0", slowUpstream)
-		upstreams = append(upstreams, endpoint{ID: fmt.Sprintf("s-%08x", i+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1})
-	}
-	agent := startAgent(t, "127.0.0.1:0", upstreams)
-	address := freeAddress(t)
-	patient := strings.Replace(configTemplate, `"target_us":250000,"give_up_us":750000`, `"target_us":20000000,"give_up_us":20000000`, 1)
-	p := startConfigured(t, balancerCommand(t), patient, address, agent, nil)
-	waitFor(t, "the balancer knows its upstreams", func() bool {
-		return strings.Contains(callAll(operators, "vars"), fmt.Sprintf("svc_known_upstreams %d\n", drainUpstreams))
-	})
+	p, address, operators := startPatientBalancer(t)
 	clients := startDrainClients(t, address)
-	waitFor(t, "the requests have begun", func() bool {
-		return strings.Contains(callAll(operators, "vars"), "svc_client_connections{state=\"active\"} 6\n")
-	})
+	waitForActive(t, operators)
 	drainedAt := time.Now()
 	if answer := callManagement(operators, "drain-on"); answer != "YES draining" {
 		t.Fatalf("drain-on got %q", answer)
@@ -271,3 +283,66 @@
 		t.Logf("log:\n%s", &p.log)
 	}
 }
+
+// A shutdown meets the same connections. Each request that is complete gets its response, nothing that comes behind it is
+// taken, and the process ends by itself soon after the last response.
+func TestShutdownReleasesConnectionsInUse(t *testing.T) {
+	p, address, operators := startPatientBalancer(t)
+	clients := startDrainClients(t, address)
+	waitForActive(t, operators)
+	terminatedAt := time.Now()
+	p.signal(t, syscall.SIGTERM)
+	select {
+	case err := <-p.exited:
+		if err != nil {
+			t.Errorf("exited with %v", err)
+		}
+	case <-time.After(slowResponse + exitMargin):
+		t.Error("the process runs on")
+		p.Process.Kill()
+	}
+	for _, c := range clients {
+		for _, complaint := range c.takenLate(terminatedAt) {
+			t.Errorf("%s: %s; responses %v", c.name, complaint, c.responses)
+		}
+		if c.firstRequest() != "" {
+			t.Errorf("%s: no response", c.name)
+		}
+	}
+	if t.Failed() {
+		t.Logf("log:\n%s", &p.log)
+	}
+}
+
+// startPatientBalancer starts a balancer with long deadlines, which knows drainUpstreams upstreams.
+func startPatientBalancer(t *testing.T) (p *process, address, operators string) {
+	t.Helper()
+	operators = freeAddress(t)
+	t.Setenv("RELAY_MANAGEMENT", operators)
+	var upstreams []endpoint
+	for i := range drainUpstreams {
+		actual := serveHTTP(t, "127.0.0.1:0", slowUpstream)
+		upstreams = append(upstreams, endpoint{ID: fmt.Sprintf("s-%08x", i+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1})
+	}
+	agent := startAgent(t, "127.0.0.1:0", upstreams)
+	address = freeAddress(t)
+	patient := strings.Replace(configTemplate, `"target_us":250000,"give_up_us":750000`, `"target_us":20000000,"give_up_us":20000000`, 1)
+	p = startConfigured(t, balancerCommand(t), patient, address, agent, nil)
+	waitFor(t, "the balancer knows its upstreams", func() bool {
+		return strings.Contains(callAll(operators, "vars"), fmt.Sprintf("svc_known_upstreams %d\n", drainUpstreams))
+	})
+	return p, address, operators
+}
+
+// waitForActive waits until the heads of all requests of drainClients, and that of the upload, have come.
+func waitForActive(t *testing.T, operators string) {
+	t.Helper()
+	active := 1
+	for _, x := range drainClients {
+		if x.active {
+			active++
+		}
+	}
+	line := fmt.Sprintf("svc_client_connections{state=\"active\"} %d\n", active)
+	waitFor(t, "the requests have begun", func() bool { return strings.Contains(callAll(operators, "vars"), line) })
+}
