Decide when the response is written whether it closes its connection

Cause: whether a response closes its connection was decided when its request came (frontend.ServeHTTP); when it was written only a shutdown was asked for again, a drain was not. A request in flight when a drain began got a response that kept its connection, and the client's next request came on it, up to the deadline of a class after the call.

Change: closesConns has all three reasons in one place and is asked again when the response is written, and by a health check after its wait for the event loop, which could answer yes after a drain had begun.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -134,7 +134,11 @@
 	x.serve()
 }
 
-// closesConns reports whether each connection is to be closed once its present request is answered, and why.
+// sendsClientsAway reports whether a drain or a shutdown has begun.
+func (f *frontend) sendsClientsAway() bool { return f.shuttingDown.Load() || f.draining.Load() }
+
+// closesConns reports whether each connection is to be closed once its present request is answered, and why. The answer holds for
+// the moment: it has to be asked for when the response is written, not only when its request comes.
 func (f *frontend) closesConns() (cause closeCause, closes bool) {
 	switch {
 	case f.shuttingDown.Load():
@@ -173,6 +177,14 @@
 
 // serveHealthCheck answers 200 if the event loop is running and new clients are welcome.
 func (f *frontend) serveHealthCheck(w http.ResponseWriter) {
+	if !f.sendsClientsAway() {
+		reached := make(barrier)
+		f.post(reached)
+		<-reached
+	}
+	if cause, closes := f.closesConns(); closes { // asked again after the wait for the loop
+		f.closeAfterResponse(w, cause)
+	}
 	if f.shuttingDown.Load() {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
@@ -181,9 +193,6 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
-	reached := make(barrier)
-	f.post(reached)
-	<-reached
 	_, _ = io.WriteString(w, "ok\n") // a client that has gone needs no response
 }
 
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -21,8 +21,9 @@
 // write writes a response to the client. Only a streamed one can end other than delivered.
 func (x *exchange) write(a response) delivery {
 	header := x.writer.Header()
-	if x.frontend.shuttingDown.Load() { // the shutdown may have begun since the request came
-		x.frontend.closeAfterResponse(x.writer, closedByShutdown)
+	// Asked again: a drain or shutdown that began while the request was in progress must not leave its connection open.
+	if cause, closes := x.frontend.closesConns(); closes {
+		x.frontend.closeAfterResponse(x.writer, cause)
 	}
 	if a.contentType != "" {
 		header.Set("Content-Type", a.contentType)
