Wait for the count of closed connections in the drain's test

The test read svc_client_closes as soon as its client saw the end of the connection; the balancer counts a close just after it, so the test failed in two of its first three runs. It now waits for exactly 4, which is stricter than the 4 or more of before.

--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -42,7 +42,9 @@
 		}
 	}
 
-	assertEqual(t, "idle and silent connections closed", b.metric(t, `svc_client_closes{cause="drain"}`) >= 4, true)
+	eventually(t, "two responses and two connections count as closed", func() bool {
+		return b.metric(t, `svc_client_closes{cause="drain"}`) == 4
+	})
 	assertEqual(t, "closed by limit", b.metric(t, `svc_client_closes{cause="limit"}`), 0)
 	eventually(t, "no connection is open", func() bool {
 		return b.metric(t, `svc_client_connections{state="new"}`)+b.metric(t, `svc_client_connections{state="active"}`)+
