Close a connection with its streamed response where clients are sent away

Cause: the head of a streamed response is written before the end of the request, so a drain or shutdown that begins in between can't be told in it.

Change: before the last part of such a response is written, the connection stops reading (endAfterResponse): a request behind it is read by nobody, so its client sends it again elsewhere, as the protocol has it. The connection is closed as soon as it is idle. A request of which a part has been read before is answered.

Related: a client that leaves in the moment in which its streamed response ends could leave an expired read deadline on the upstream's connection after it went back to the pool, which fails the next attempt on it. Such a connection is now closed.

TestEndAfterResponse passes.

--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -34,12 +34,25 @@
 	f.conns[conn] = connStatus{state: state, since: f.now()}
 	if state == http.StateIdle {
 		conn.onAnswered()
+		f.closeAfterDrainedResponse(conn)
 	}
 	if state == http.StateNew && len(f.conns) > f.maxConns {
 		f.evict(conn)
 	}
 }
 
+// closeAfterDrainedResponse closes a connection that has become idle where clients are sent away: its response began too
+// early to say so. Waiting for the next sweep would let its client send another request.
+func (f *frontend) closeAfterDrainedResponse(conn *framingConn) {
+	cause := closedByDrain
+	if f.shuttingDown.Load() {
+		cause = closedByShutdown
+	}
+	if f.sendsClientsAway() && conn.closeIfIdle() {
+		f.metrics.conns.countClose(cause)
+	}
+}
+
 // isTracked reports whether a connection is among the open ones. The lock is held.
 func (f *frontend) isTracked(conn *framingConn) bool {
 	_, tracked := f.conns[conn]
@@ -65,7 +78,7 @@
 			since = status.since
 		}
 	}
-	if !victim.closeIfIdle() && !victim.isShut() { // a request has just begun on it
+	if !victim.closeIfIdle() && !victim.isClosed() { // a request has just begun on it
 		victim = newcomer
 		newcomer.Close()
 	}
--- a/internal/proxy/framingconn.go
+++ b/internal/proxy/framingconn.go
@@ -24,7 +24,8 @@
 	scan     requestScanner
 	headBy   time.Time // when the head of the present request has to have come, unless it is the first
 	err      error     // the framing error that the reader has come to
-	shut     bool      // closed between two requests: what is read at that very moment goes no further
+	shut     bool      // what is read from now on goes no further: it comes behind the last response
+	closed   bool      // closed between two requests, by closeIfIdle
 	answered int       // requests that have been answered
 	// arrivals are when the last byte came of each complete request that is not answered, the present one first.
 	arrivals []time.Duration
@@ -76,7 +77,8 @@
 // the network but not been scanned when the connection is closed are given to nobody.
 func (c *framingConn) closeIfIdle() bool {
 	c.mu.Lock()
-	closes := !c.shut && c.isIdleLocked()
+	closes := !c.closed && c.isIdleLocked()
+	c.closed = c.closed || closes
 	c.shut = c.shut || closes
 	c.mu.Unlock()
 	if closes {
@@ -85,11 +87,22 @@
 	return closes
 }
 
-// isShut reports whether closeIfIdle has closed the connection.
-func (c *framingConn) isShut() bool {
+// isClosed reports whether closeIfIdle has closed the connection.
+func (c *framingConn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.shut
+	return c.closed
+}
+
+// endAfterResponse makes the present response the connection's last, where its head has been written without saying so. It has
+// to be called before the response's last byte is written: a client sends its next request behind that. Nothing that comes
+// behind the present request is read from then on, so that the client sends such a request again elsewhere. It does nothing
+// where a part of the next request has been read already: that request is answered.
+func (c *framingConn) endAfterResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	nothingBehind := c.scan.atRequestStart() && c.scan.requestCount == c.answered+1
+	c.shut = c.shut || nothingBehind
 }
 
 // hasFramingError reports whether reading has ended for a framing error, and not because the client disconnected.
--- a/internal/proxy/idleclose_test.go
+++ b/internal/proxy/idleclose_test.go
@@ -1,10 +1,13 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // heldReadListener accepts connections of which one read can be held back after its bytes have been taken from the network.
@@ -97,3 +100,29 @@
 		}
 	}
 }
+
+// A response that is to be its connection's last ends reading: what comes behind it is given to nobody, and the connection
+// closes as soon as it is idle. Where a part of the next request has been read before, that request is answered.
+func TestEndAfterResponse(t *testing.T) {
+	const head = "GET /read/x HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, behind := range []string{"", head[:1], head} {
+		client, conn := net.Pipe()
+		defer client.Close()
+		c := &framingConn{Conn: conn, now: func() time.Duration { return 0 }}
+		read := func(text string) error {
+			go func() { _, _ = io.WriteString(client, text) }()
+			_, err := io.ReadFull(c, make([]byte, len(text)))
+			return err
+		}
+		if err := read(head + behind); err != nil {
+			t.Fatal(err)
+		}
+		c.endAfterResponse()
+		err := read("more")
+		assertEqual(t, "reading has ended", errors.Is(err, net.ErrClosed), behind == "")
+		assertEqual(t, "closes during the response", c.closeIfIdle(), false)
+		c.onAnswered()
+		assertEqual(t, "closes after it", c.closeIfIdle(), behind == "")
+		assertEqual(t, "closes twice", c.closeIfIdle(), false)
+	}
+}
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -53,8 +53,9 @@
 		}
 	})
 	defer func() {
-		stopWatching()
-		x.frontend.post(streamFinished{upstream.endpoint, upstream.finish(result == delivered)})
+		// Where watching could not be stopped, a read deadline may still be set on the upstream's connection.
+		stopped := stopWatching()
+		x.frontend.post(streamFinished{upstream.endpoint, upstream.finish(result == delivered && stopped)})
 	}()
 	if n := upstream.resp.ContentLength; n >= 0 {
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(n, 10))
@@ -80,6 +81,9 @@
 		part = buf[:n]
 		switch {
 		case errors.Is(err, io.EOF):
+			if x.frontend.sendsClientsAway() {
+				connOf(x.httpRequest).endAfterResponse()
+			}
 			if _, err := x.writer.Write(part); err != nil {
 				return clientGone
 			}
