Answer a request that comes late in a drain before the drain's limit

Cause: a client may take 2 s for the head of a request on a connection that it opened or used before the front noticed the drain. Such a request came 2.2 s after the call and waited for its upstream up to its own deadline, so that its connection was held past the 4 s in which a drained balancer has to let its clients go.

Change: what is left to a request is bounded by the limit of a drain as it is by SIGKILL (frontend.timeLeft). It binds only requests that come from 1.9 to 4 s after a drain's beginning: older ones may go on at the limit, later ones come all the same and are served in full.

Not taken: rejecting such requests at once, since most can be answered in time.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -12,9 +12,12 @@
 	drainIdleGrace = 500 * time.Millisecond
 	// drainSweepInterval is the time between two looks for idle connections during a drain.
 	drainSweepInterval = 100 * time.Millisecond
-	// drainReportDelay is when a drain that still has client connections is reported: operators are promised by then that
-	// no connection is idle and none is used for new requests.
-	drainReportDelay = 4 * time.Second
+	// drainLimit is when, after a drain's beginning, no connection may be idle, nor have a request in progress that came
+	// within the last drainRecentAge. Connections that are open then are reported.
+	drainLimit     = 4 * time.Second
+	drainRecentAge = 2 * time.Second
+	// drainMargin is how much sooner than drainLimit such a request is answered.
+	drainMargin = 100 * time.Millisecond
 )
 
 // setDraining sends clients away, or welcomes them again. While draining, health checks fail, responses close their
@@ -26,24 +29,26 @@
 	if on == (f.cancelDrain != nil) {
 		return
 	}
-	f.draining.Store(on)
 	if !on {
+		f.draining.Store(false)
 		slog.Info("drain ended", "connections", len(f.conns))
 		f.cancelDrain()
 		f.cancelDrain = nil
 		return
 	}
 	slog.Info("drain begun", "connections", len(f.conns))
+	f.drainAt.Store(int64(f.now()))
+	f.draining.Store(true)
 	ctx, cancel := context.WithCancel(f.ctx)
 	f.cancelDrain = cancel
 	go f.closeIdleWhileDraining(ctx)
 }
 
 // closeIdleWhileDraining closes idle connections, after drainIdleGrace, until ctx ends. It reports which connections are
-// open after drainReportDelay.
+// open after drainLimit.
 func (f *frontend) closeIdleWhileDraining(ctx context.Context) {
 	grace := time.After(drainIdleGrace)
-	report := time.After(drainReportDelay)
+	report := time.After(drainLimit)
 	sweep := time.NewTicker(drainSweepInterval)
 	defer sweep.Stop()
 	select {
@@ -61,3 +66,18 @@
 		}
 	}
 }
+
+// timeBeforeDrainLimit is how much of timeout is left, before the limit of a drain, to a request that came at the given time
+// on the loop's clock. It is all of timeout unless the request came after a drain's beginning so late that it would count as a
+// recent one at the limit: its client was slow with it, and the connection has to be free by then. Who comes after the limit
+// comes all the same, and is served.
+func (f *frontend) timeBeforeDrainLimit(at, timeout time.Duration) time.Duration {
+	if !f.draining.Load() {
+		return timeout
+	}
+	since := at - time.Duration(f.drainAt.Load())
+	if since < drainLimit-drainRecentAge-drainMargin || since >= drainLimit {
+		return timeout
+	}
+	return min(timeout, max(0, drainLimit-drainMargin-since))
+}
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // A drain sends clients away: health checks fail, responses close their connections, and idle connections are closed, also
@@ -88,3 +90,30 @@
 	}
 	return r
 }
+
+// A request that comes so late in a drain that it would count as a recent one at the drain's limit is answered before that.
+func TestTimeBeforeDrainLimit(t *testing.T) {
+	const ms = time.Millisecond
+	f := &frontend{}
+	f.drainAt.Store(int64(10 * time.Second))
+	for _, x := range []struct{ since, timeout, want time.Duration }{
+		{-5 * ms, 20000 * ms, 20000 * ms}, // before the drain
+		{0, 20000 * ms, 20000 * ms},
+		{1899 * ms, 20000 * ms, 20000 * ms}, // old enough at the limit
+		{1900 * ms, 20000 * ms, 2000 * ms},
+		{2500 * ms, 20000 * ms, 1400 * ms},
+		{2500 * ms, 300 * ms, 300 * ms},
+		{3950 * ms, 20000 * ms, 0},
+		{4000 * ms, 20000 * ms, 20000 * ms}, // behind the limit
+	} {
+		for _, draining := range []bool{false, true} {
+			f.draining.Store(draining)
+			want := x.timeout
+			if draining {
+				want = x.want
+			}
+			got := f.timeBeforeDrainLimit(10*time.Second+x.since, x.timeout)
+			assertEqual(t, fmt.Sprintf("draining %v, %v after", draining, x.since), got, want)
+		}
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -58,6 +58,7 @@
 	shutdownAt   atomic.Int64  // when it began, a time.Duration on the loop's clock
 	acceptEnded  chan struct{} // closed once no more connections are accepted
 	draining     atomic.Bool   // operators have asked for a drain
+	drainAt      atomic.Int64  // when the last drain began, a time.Duration on the loop's clock
 
 	mu          sync.Mutex // guards the fields below
 	conns       map[*framingConn]connStatus
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// timeLeft is how much of timeout is left to a request that came at the given time on the loop's clock, before whatever ends
+// its connection first: the limit of a drain, or SIGKILL.
+func (f *frontend) timeLeft(at, timeout time.Duration) time.Duration {
+	return min(f.timeBeforeDrainLimit(at, timeout), f.timeBeforeKill(at, timeout))
+}
+
 // timeBeforeKill is how much of timeout is left, before SIGKILL, to a request that came at the given time on the loop's
 // clock. It is all of timeout unless a shutdown has begun and the request came too long after that.
 func (f *frontend) timeBeforeKill(at, timeout time.Duration) time.Duration {
