Give each address of the program's tests a loopback host of its own

Cause: freeAddress closed its listener and left the port to be taken by whoever bound next on 127.0.0.1: another test's listener or a client's connection. A stand-in that got the port answers health checks, so the test took the balancer for healthy.

Change: each call takes the next host of 127.64.0.0/10.

--- a/cmd/balancer/process_test.go
+++ b/cmd/balancer/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,10 +39,16 @@
 	return exec.Command(path)
 }
 
-// free returns an address on which nothing listens.
+// loopbackHosts counts the hosts that freeAddress has given away.
+var loopbackHosts atomic.Uint32
+
+// freeAddress returns an address on which nothing listens. Its host is one of 127.64.0.0/10 that no other address of this
+// process has: between this call and the use of the address, nothing else can take its port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := loopbackHosts.Add(1)
+	host := net.IPv4(127, byte(64+os.Getpid()%64), byte(n>>8), byte(n)).String()
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
