--- a/cmd/balancer/drain_test.go
+++ b/cmd/balancer/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -259,7 +260,7 @@
 // count. What settled it: the responses and ages that this test prints, and the log of the balancer, which has "drain
 // begun", and 4 s later "drain goes on" with the open connections.
 func TestDrainReleasesConnectionsInUse(t *testing.T) {
-	p, address, operators := startPatientBalancer(t)
+	p, address, operators := startPatientBalancer(t, balancerCommand(t), slowUpstream)
 	clients := startDrainClients(t, address)
 	waitForActive(t, operators)
 	drainedAt := time.Now()
@@ -287,7 +288,7 @@
 // A shutdown meets the same connections. Each request that is complete gets its response, nothing that comes behind it is
 // taken, and the process ends by itself soon after the last response.
 func TestShutdownReleasesConnectionsInUse(t *testing.T) {
-	p, address, operators := startPatientBalancer(t)
+	p, address, operators := startPatientBalancer(t, balancerCommand(t), slowUpstream)
 	clients := startDrainClients(t, address)
 	waitForActive(t, operators)
 	terminatedAt := time.Now()
@@ -315,20 +316,25 @@
 }
 
 // startPatientBalancer starts a balancer with long deadlines, which knows drainUpstreams upstreams.
-func startPatientBalancer(t *testing.T) (p *process, address, operators string) {
+func startPatientBalancer(t *testing.T, command *exec.Cmd, upstream http.HandlerFunc) (p *process, address, operators string) {
 	t.Helper()
 	operators = freeAddress(t)
-	t.Setenv("RELAY_MANAGEMENT", operators)
 	var upstreams []endpoint
 	for i := range drainUpstreams {
-		actual := serveHTTP(t, "127.0.0.1:0", slowUpstream)
+		actual := serveHTTP(t, "127.0.0.1:0", upstream)
 		upstreams = append(upstreams, endpoint{ID: fmt.Sprintf("s-%08x", i+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1})
 	}
 	agent := startAgent(t, "127.0.0.1:0", upstreams)
 	address = freeAddress(t)
 	patient := strings.Replace(configTemplate, `"target_us":250000,"give_up_us":750000`, `"target_us":20000000,"give_up_us":20000000`, 1)
-	p = startConfigured(t, balancerCommand(t), patient, address, agent, nil)
+	patient = strings.Replace(patient, `{"name":"n0"`, fmt.Sprintf(`{"name":"n0","management":%q`, operators), 1)
+	p = startConfigured(t, command, patient, address, agent, nil)
 	waitFor(t, "the balancer knows its upstreams", func() bool {
+		select {
+		case err := <-p.exited:
+			t.Fatalf("exited: %v\n%s", err, &p.log)
+		default:
+		}
 		return strings.Contains(callAll(operators, "vars"), fmt.Sprintf("svc_known_upstreams %d\n", drainUpstreams))
 	})
 	return p, address, operators
