Go on after a failed accept call, and answer what is in flight where the listener breaks

Cause: framingListener.Accept passed every error on to net/http, whose Serve goes on only after errors that it knows as temporary; Proxy.Run ended at once with any other, and with it every request in flight.

Change: Accept tries again after 20 ms for all errors but those of the listener itself (closed, EBADF, EINVAL, ENOTSOCK), and logs the first of a series. Where the listener is unusable the balancer shuts down as after SIGTERM and then ends with the error.

Not taken: a list of errors to try again after; accept(2) says that more may come with later protocols.

--- a/internal/proxy/framinglistener.go
+++ b/internal/proxy/framinglistener.go
@@ -2,14 +2,25 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// lastAcceptWait is how long the last look for connections that wait to be accepted takes.
-const lastAcceptWait = 10 * time.Millisecond
+const (
+	// lastAcceptWait is how long the last look for connections that wait to be accepted takes.
+	lastAcceptWait = 10 * time.Millisecond
+	// acceptRetryDelay is the wait after a connection could not be accepted, as where descriptors or memory are short.
+	acceptRetryDelay = 20 * time.Millisecond
+)
+
+// brokenListenerErrors are the errors of an accept call that say that the listener itself can't be used any more. All others
+// are of one connection, or of the moment (accept(2)).
+var brokenListenerErrors = []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK}
 
 // expiredDeadline is a deadline that ends whatever waits.
 var expiredDeadline = time.Unix(0, 1)
@@ -19,6 +30,8 @@
 	net.Listener
 	now    func() time.Duration // the loop's clock
 	ending atomic.Bool          // closeWhenDrained has been called
+	// failing tells that the last accept call failed; it belongs to the caller of Accept.
+	failing bool
 }
 
 // deadlineListener is a listener whose waiting Accept can be ended without closing it.
@@ -36,7 +49,8 @@
 	_ = d.SetDeadline(expiredDeadline) // wakes Accept for its last look; fails only if the listener is closed already
 }
 
-// Accept returns the next connection, or net.ErrClosed once the listener has been closed by closeWhenDrained.
+// Accept returns the next connection, or net.ErrClosed once the listener has been closed by closeWhenDrained. It tries again
+// after an error that does not concern the listener itself.
 func (l *framingListener) Accept() (net.Conn, error) {
 	for {
 		last := l.ending.Load()
@@ -49,14 +63,29 @@
 		c, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			l.failing = false
 			return &framingConn{Conn: c, now: l.now, headAt: l.now()}, nil
-		case !l.ending.Load():
+		case isListenerBroken(err):
 			return nil, err
 		case last && !time.Now().Before(until): // the queue has been empty for lastAcceptWait
 			l.Close()
 			return nil, net.ErrClosed
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, err
+			l.retryAfter(err)
 		}
 	}
 }
+
+// retryAfter waits before the next accept call, and logs the first error of a series.
+func (l *framingListener) retryAfter(err error) {
+	if !l.failing {
+		slog.Warn("a connection could not be accepted", "err", err)
+	}
+	l.failing = true
+	time.Sleep(acceptRetryDelay)
+}
+
+// isListenerBroken reports whether an error of an accept call concerns the listener itself.
+func isListenerBroken(err error) bool {
+	return slices.ContainsFunc(brokenListenerErrors, func(broken error) bool { return errors.Is(err, broken) })
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
@@ -46,7 +47,10 @@
 	p.serving.Store(true)
 	for {
 		select {
-		case err := <-served:
+		case err := <-served: // the listener has failed; what has been accepted is still owed its response
+			slog.Error("no more connections are accepted: shutting down", "err", err)
+			p.front.shutDown()
+			p.saveLastSnapshot()
 			return err
 		case address := <-moves:
 			p.loop.post(discoveryMoved{address})
