Add failing tests of a failed look at a socket and of a drain that ends early

Need: two more related paths, found by reading. A look at a client's socket that fails for lack of memory is taken for a client that has left, so its request ends without a response. A drain that ends between the last part of a streamed response and the connection's idle state leaves a connection that is open and not read.

--- a/internal/proxy/idleclose_test.go
+++ b/internal/proxy/idleclose_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -126,3 +127,25 @@
 		assertEqual(t, "closes twice", c.closeIfIdle(), false)
 	}
 }
+
+// A drain that ends between the end of a streamed response and its connection's next request does not leave a connection on
+// which nothing is read.
+func TestEndedConnectionClosesAfterDrain(t *testing.T) {
+	b := newBalancer(t)
+	client, conn := net.Pipe()
+	defer client.Close()
+	c := &framingConn{Conn: conn, now: b.proxy.front.now}
+	const head = "GET /read/x HTTP/1.1\r\nHost: x\r\n\r\n"
+	go func() { _, _ = io.WriteString(client, head) }()
+	if _, err := io.ReadFull(c, make([]byte, len(head))); err != nil {
+		t.Fatal(err)
+	}
+	c.endAfterResponse() // in a drain, which is over when the response is
+	b.proxy.front.trackConn(c, http.StateActive)
+	b.proxy.front.trackConn(c, http.StateIdle)
+	client.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection is open: %v", err)
+	}
+	b.proxy.front.trackConn(c, http.StateClosed)
+}
--- a/internal/proxy/socket_test.go
+++ b/internal/proxy/socket_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"os"
+	"syscall"
 	"testing"
 )
 
@@ -63,3 +65,25 @@
 	})
 	return dialed, accepted
 }
+
+// pipeConn is a connection whose descriptor is no socket: a look at it fails for a reason that says nothing of the peer.
+type pipeConn struct {
+	net.Conn
+	file *os.File
+}
+
+func (c pipeConn) SyscallConn() (syscall.RawConn, error) { return c.file.SyscallConn() }
+
+// A look that fails, for lack of memory as well, is not taken for a client that has left: its request would be dropped.
+func TestFailedPeekIsNoDisconnect(t *testing.T) {
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer read.Close()
+	defer write.Close()
+	c := &framingConn{Conn: pipeConn{file: read}}
+	assertEqual(t, "left", c.closedByClient(), false)
+	read.Close()
+	assertEqual(t, "left, where this side has closed", c.closedByClient(), true)
+}
