Tell a failed look at a client's socket from a disconnect, and close an unread connection

Cause: peekSocket took every error of its look for the end of the connection. A connection that endAfterResponse had shut was closed as idle only while a drain or shutdown was still on.

Change: only an end of file and the errors by which a socket tells its end count as a disconnect; any other is errPeekFailed, after which a client counts as present and an idle upstream connection as unusable. A connection that is shut is closed when it becomes idle, whatever has become of the drain.

--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -48,7 +48,8 @@
 	if f.shuttingDown.Load() {
 		cause = closedByShutdown
 	}
-	if f.sendsClientsAway() && conn.closeIfIdle() {
+	ends := f.sendsClientsAway() || conn.isShut() // the latter where a drain has ended meanwhile
+	if ends && conn.closeIfIdle() {
 		f.metrics.conns.countClose(cause)
 	}
 }
--- a/internal/proxy/framingconn.go
+++ b/internal/proxy/framingconn.go
@@ -87,6 +87,13 @@
 	return closes
 }
 
+// isShut reports whether nothing that comes from now on is read.
+func (c *framingConn) isShut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut
+}
+
 // isClosed reports whether closeIfIdle has closed the connection.
 func (c *framingConn) isClosed() bool {
 	c.mu.Lock()
@@ -198,6 +205,9 @@
 		return false
 	}
 	state, err := peekSocket(socket)
+	if errors.Is(err, errPeekFailed) {
+		return false // the next read will tell
+	}
 	return err != nil || state == socketClosed
 }
 
--- a/internal/proxy/socket.go
+++ b/internal/proxy/socket.go
@@ -2,9 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"syscall"
 )
 
+// errPeekFailed says that a look at a socket has failed and tells nothing of the other side.
+var errPeekFailed = errors.New("looking at a socket")
+
+// disconnectErrors are the errors by which a socket tells that the connection is over.
+var disconnectErrors = []syscall.Errno{syscall.ECONNRESET, syscall.ECONNABORTED, syscall.ECONNREFUSED, syscall.EPIPE,
+	syscall.ENOTCONN, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENETDOWN}
+
 // socketState is what can be seen of a connection without waiting and without reading from it.
 type socketState uint8
 
@@ -14,7 +23,8 @@
 	socketClosed                      // the other side has closed or reset it
 )
 
-// peekSocket returns a connection's state. It fails where the connection has been closed on this side.
+// peekSocket returns a connection's state. It fails where the connection has been closed on this side, and with errPeekFailed
+// where the look itself has failed.
 func peekSocket(c syscall.Conn) (socketState, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -38,7 +48,15 @@
 		return socketReadable, nil
 	case errors.Is(peekErr, syscall.EAGAIN):
 		return socketQuiet, nil
-	default:
+	case peekErr == nil || isDisconnect(peekErr):
 		return socketClosed, nil
+	default:
+		return socketQuiet, fmt.Errorf("%w: %w", errPeekFailed, peekErr)
 	}
 }
+
+// isDisconnect reports whether an error of a socket tells that the connection is over.
+func isDisconnect(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number) && slices.Contains(disconnectErrors, number)
+}
