Leave two hold-ups between a late answer and the end of a drain or shutdown

Cause: late requests were answered 100 ms before a drain's limit and before the kill, counted from when the process got to the call or signal. A process that is held up for 150 ms then, or as it answers, is later than that.

Change: both margins are 350 ms, twice the hold-up and 50 ms.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -16,8 +16,9 @@
 	// within the last drainRecentAge. Connections that are open then are reported.
 	drainLimit     = 4 * time.Second
 	drainRecentAge = 2 * time.Second
-	// drainMargin is how much sooner than drainLimit such a request is answered.
-	drainMargin = 100 * time.Millisecond
+	// drainMargin is how much sooner than drainLimit such a request is answered. The process may be held up for 150 ms before
+	// it gets to the operators' call, from which they count, and again before it writes the answer.
+	drainMargin = 350 * time.Millisecond
 )
 
 // setDraining sends clients away, or welcomes them again. While draining, health checks fail, responses close their
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -15,10 +15,11 @@
 
 	// The platform sends SIGKILL after SIGTERM no sooner than the longest deadline, which counts as killDeadlineCap where
 	// it is longer, plus killDelay. A request that comes later than killDelay after SIGTERM has to be answered by then; it
-	// is answered killMargin sooner.
+	// is answered killMargin sooner: the process may be held up for 150 ms before it gets to the signal, from which the platform
+	// counts, and again before it writes the answer.
 	killDelay       = 700 * time.Millisecond
 	killDeadlineCap = 3 * time.Second
-	killMargin      = 100 * time.Millisecond
+	killMargin      = 350 * time.Millisecond
 )
 
 // shutDown shuts the frontend down without losing a request: it accepts the connections that are still on their way, closes
