Add a failing test of operators' orders at the same moment and during the start

Need: operators' calls are answered before the proxy runs, so a drain may be ordered while saved orders are restored.

--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -117,3 +118,19 @@
 		}
 	}
 }
+
+// Orders that operators give at the same moment end in one state, and the order that outlives the process is that state's.
+func TestConcurrentDrainOrdersAgree(t *testing.T) {
+	b := newBalancerWith(t, newTestDiscovery(t), func(c *Config) { c.StateWriter = newMemoryWriter() })
+	for round := range 2000 {
+		var group sync.WaitGroup
+		for _, on := range []bool{true, false} {
+			group.Go(func() { b.proxy.Drain(on) })
+		}
+		group.Wait()
+		if ordered, draining := b.proxy.loop.saver.drainOrdered(), b.proxy.front.draining.Load(); ordered != draining {
+			t.Fatalf("round %d: the saved order is %v, the state %v", round, ordered, draining)
+		}
+	}
+	b.proxy.Drain(false)
+}
