Serialize operators' orders with the restoring of saved ones

Cause: Proxy.Run applied a saved drain, and stateSaver.restore read the saved orders without their lock, while operators' calls are already answered. An order to end a drain that came in between could be lost. Drain saved the state that its own call asked for, also where another call had changed it meanwhile.

Change: a saved drain is applied in New, before operators can reach the proxy; restore works on a copy taken under the lock; the last of several orders saves the state that they have led to.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,12 +22,16 @@
 	serving atomic.Bool
 }
 
-// New returns a balancer for the clients of listener. It does nothing before Run.
+// New returns a balancer for the clients of listener. It serves nobody before Run, but takes operators' orders; a drain that an
+// earlier process was ordered is in force from the beginning.
 func New(c Config, listener net.Listener) *Proxy {
 	life, end := context.WithCancel(context.Background())
 	p := &Proxy{config: c, end: end}
 	p.loop = newLoop(life, &p.config)
 	p.front = newFrontend(&p.config, listener, p.loop)
+	if p.loop.saver.currentOrders().Drain {
+		p.front.setDraining(true) // before operators can order otherwise
+	}
 	return p
 }
 
@@ -38,9 +42,6 @@
 	if err := p.loop.start(&p.config); err != nil {
 		return err
 	}
-	if p.loop.saver.drainOrdered() {
-		p.front.setDraining(true)
-	}
 	go p.loop.run()
 	served := make(chan error, 1)
 	go func() { served <- p.front.serve() }()
@@ -86,7 +87,8 @@
 func (p *Proxy) Drain(on bool) (done bool, state string) {
 	p.front.setDraining(on)
 	_, state = p.Ready()
-	err := p.loop.saver.updateOrders(func(o *savedOrders) { o.Drain = on })
+	// Of orders at the same moment, the one that is saved last saves the state that all of them have led to.
+	err := p.loop.saver.updateOrders(func(o *savedOrders) { o.Drain = p.front.draining.Load() })
 	if err != nil {
 		return false, state + ", " + err.Error()
 	}
--- a/internal/proxy/statesaver.go
+++ b/internal/proxy/statesaver.go
@@ -38,7 +38,7 @@
 
 // stateSaver saves what has to outlive the process and restores what an earlier process has saved. Its writer is nil
 // where nothing is saved: its methods do nothing then. It belongs to the loop and is used on the loop's goroutine only,
-// but for the operators' orders, which have a lock: updateOrders and drainOrdered may be called from any goroutine.
+// but for the operators' orders, which have a lock: updateOrders and currentOrders may be called from any goroutine.
 type stateSaver struct {
 	writer    StateWriter
 	log       *logWriter
@@ -127,7 +127,8 @@
 	}
 	defer s.writer.MarkRecovered()
 	snapshot, ok := s.loadSnapshot(ids)
-	snapshot.DrainedZones = s.orders.DrainedZones
+	orders := s.currentOrders()
+	snapshot.DrainedZones = orders.DrainedZones
 	if ok || len(snapshot.DrainedZones) > 0 {
 		module.Restore(now(), snapshot)
 	}
@@ -135,9 +136,9 @@
 		s.log.info("knowledge from before", "upstreams", len(snapshot.Endpoints),
 			"age", (now() - snapshot.TakenAt).Round(time.Millisecond).String())
 	}
-	if s.orders.Drain || len(s.orders.DrainedZones) > 0 {
-		s.log.info("orders from before", "serial", s.orders.Serial, "drain", s.orders.Drain,
-			"left", strings.Join(s.orders.DrainedZones, " "))
+	if orders.Drain || len(orders.DrainedZones) > 0 {
+		s.log.info("orders from before", "serial", orders.Serial, "drain", orders.Drain,
+			"left", strings.Join(orders.DrainedZones, " "))
 	}
 }
 
@@ -233,9 +234,11 @@
 	return nil
 }
 
-// drainOrdered reports whether operators have ordered a drain that is not over.
-func (s *stateSaver) drainOrdered() bool {
+// currentOrders is what operators have ordered and not taken back.
+func (s *stateSaver) currentOrders() savedOrders {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.orders.Drain
+	current := s.orders
+	current.DrainedZones = slices.Clone(current.DrainedZones)
+	return current
 }
