Name the configuration keys that are not used in the line of the start

Change: the line of the start has the names, not the values, of the file's top-level keys that the program does not know, 16 at most.

Measured: tests of the configuration pass.

--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -54,7 +54,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	slog.Info("starting", "name", config.Name, "listen", config.Listen, "known", len(config.Known.Members),
-		"management", config.Management, "inherits", config.ListenFD != 0)
+		"management", config.Management, "inherits", config.ListenFD != 0, "unused", config.UnusedKeys)
 	listener, err := config.OpenListener()
 	if err != nil {
 		return err
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -14,8 +14,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -56,6 +58,9 @@
 	Links wire.ConnectionTimeouts
 	// StateWriter saves the state that has to outlive the process. It may be nil: nothing is saved.
 	StateWriter StateWriter
+	// UnusedKeys are the keys of the configuration file's top level that this program does not know, sorted. They are no mistake,
+	// but a misspelt one shows there.
+	UnusedKeys []string
 	// Localities maps zones that discovery and settings name without a region to region/zone. It may be nil.
 	Localities map[string]string
 
@@ -95,6 +100,8 @@
 	Limits     fileLimits      `json:"limits"`
 	Known      endpointList    `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
+
+	unusedKeys []string
 }
 
 // fileLimits are the limits of the process in the configuration file.
@@ -157,9 +164,29 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	f.unusedKeys = unusedKeys(text)
 	return &f, nil
 }
 
+// maxUnusedKeys is how many unused keys are kept at most.
+const maxUnusedKeys = 16
+
+// usedKeys are the keys of the configuration file's top level.
+var usedKeys = []string{"name", "listen", "discovery", "management", "seed", "limits", "known", "settings"}
+
+// unusedKeys returns the keys of a configuration's top level that are not used, sorted.
+func unusedKeys(text []byte) []string {
+	var all map[string]json.RawMessage
+	if json.Unmarshal(text, &all) != nil {
+		return nil
+	}
+	for _, key := range usedKeys {
+		delete(all, key)
+	}
+	unused := slices.Sorted(maps.Keys(all))
+	return unused[:min(len(unused), maxUnusedKeys)]
+}
+
 // override replaces what the environment sets.
 func (f *configFile) override(getenv func(string) string) {
 	for name, field := range map[string]*string{
@@ -184,6 +211,7 @@
 		Known:      f.Known,
 		MemoryMB:   f.Limits.MemoryMB,
 		Sockets:    f.Limits.Sockets,
+		UnusedKeys: f.unusedKeys,
 	}
 	if err := c.checkAddresses(); err != nil {
 		return c, err
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -157,3 +157,15 @@
 	assertEqual(t, "written", r.attempts[0].stage.Load(), attemptDropped)
 	assertEqual(t, "connections", l.pool.open, 0)
 }
+
+// Keys that are not used are no mistake, and are named.
+func TestUnusedKeys(t *testing.T) {
+	text := strings.Replace(configText, `"name"`, `"managment":"127.0.0.1:9000","beta":{"name":1},"name"`, 1)
+	for text, want := range map[string]string{configText: "", text: "beta managment"} {
+		c, err := loadConfig(t, text, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertEqual(t, "unused", strings.Join(c.UnusedKeys, " "), want)
+	}
+}
