--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -160,8 +160,8 @@
 
 // Keys that are not used are no mistake, and are named.
 func TestUnusedKeys(t *testing.T) {
-	text := strings.Replace(configText, `"name"`, `"managment":"127.0.0.1:9000","beta":{"name":1},"name"`, 1)
-	for text, want := range map[string]string{configText: "", text: "beta managment"} {
+	text := strings.Replace(configText, `"name"`, `"manage":"127.0.0.1:9000","beta":{"name":1},"name"`, 1)
+	for text, want := range map[string]string{configText: "", text: "beta manage"} {
 		c, err := loadConfig(t, text, nil)
 		if err != nil {
 			t.Fatal(err)
