--- /dev/null
+++ b/cmd/balancer/stalledlog_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// fillPipe returns the writing end of a pipe that takes no more bytes, and that nobody reads.
+func fillPipe(t *testing.T) *os.File {
+	t.Helper()
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		read.Close()
+		write.Close()
+	})
+	for {
+		if err := write.SetWriteDeadline(time.Now().Add(healthPollInterval)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := write.Write(make([]byte, 4096)); err != nil {
+			return write
+		}
+	}
+}
+
+// A log that nobody reads holds nothing up: the process starts, is drained and ends as with any other. It used to wait for the
+// line of its start, and a drain for the line that announces it.
+func TestStalledLogHoldsNothingUp(t *testing.T) {
+	p := &process{
+		Cmd:        balancerCommand(t),
+		template:   configTemplate,
+		configPath: filepath.Join(t.TempDir(), "config.json"),
+		exited:     make(chan error, 1),
+		deadline:   time.After(processTimeout),
+	}
+	address, operators := freeAddress(t), freeAddress(t)
+	p.writeConfig(t, address, freeAddress(t))
+	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.configPath, "RELAY_MANAGEMENT="+operators)
+	p.Stderr = fillPipe(t)
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill() })
+	go func() { p.exited <- p.Wait() }()
+	waitFor(t, "the process serves", func() bool { return callManagement(operators, "check") == "YES serving" })
+	called := time.Now()
+	if answer := callManagement(operators, "drain-on"); answer != "YES draining" || time.Since(called) > time.Second {
+		t.Errorf("drain-on got %q after %v", answer, time.Since(called))
+	}
+	if err := checkHealth(address); err == nil {
+		t.Error("the health check is answered with yes")
+	}
+	p.terminate(t)
+}
