Write the process's log from a queue that never waits

Cause: lines of the log were written to standard error where they came up: at the start, before an operators' call is carried out, under the lock of the client connections in a drain. Where nobody reads standard error, all of that waits for good.

The default logger, net/http's and the fleet file's formats write to it.

Not taken: slog's own handlers with a buffer, which still write where the line comes up.

--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"log/slog"
 	"maps"
 	"net"
@@ -31,17 +33,23 @@
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "balancer:", err)
+	queue := newLogQueue(os.Stderr)
+	log.SetOutput(queue) // also of the default logger of package slog
+	err := run(queue)
+	if err != nil {
+		fmt.Fprintln(queue, "balancer:", err)
+	}
+	queue.Flush()
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-// run serves until SIGTERM or an interrupt.
-func run() error {
+// run serves until SIGTERM or an interrupt. The log goes to a writer that must not wait.
+func run(logWriter io.Writer) error {
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP) // before all else: without it the signal would end the program
-	config, file, err := loadConfiguration()
+	config, file, err := loadConfiguration(logWriter)
 	if err != nil {
 		return err
 	}
@@ -80,7 +88,7 @@
 }
 
 // loadConfiguration reads the configuration and the fleet file, and sets the logger that the latter asks for.
-func loadConfiguration() (proxy.Config, fleet.File, error) {
+func loadConfiguration(logWriter io.Writer) (proxy.Config, fleet.File, error) {
 	config, err := proxy.LoadConfig(os.Getenv)
 	if err != nil {
 		return config, fleet.File{}, err
@@ -90,7 +98,7 @@
 		return config, file, err
 	}
 	slog.SetLogLoggerLevel(file.Log.MinLevel())
-	if handler := file.Log.Handler(); handler != nil {
+	if handler := file.Log.Handler(logWriter); handler != nil {
 		slog.SetDefault(slog.New(handler))
 	}
 	config.SetLocalities(file.Localities())
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"io"
 	"maps"
 	"os"
 	"path/filepath"
@@ -16,7 +17,7 @@
 	if want := map[string]string{"a": "java/a", "b": "java/b", "c": "bali/c"}; !maps.Equal(f.Localities(), want) {
 		t.Errorf("localities %v, want %v", f.Localities(), want)
 	}
-	if f.Log.Handler() == nil {
+	if f.Log.Handler(io.Discard) == nil {
 		t.Error("json has no handler")
 	}
 }
@@ -60,7 +61,7 @@
 		t.Errorf("%v, %v", f, err)
 	}
 	f, err := Load(func(string) string { return "" })
-	if err != nil || f.Localities() != nil || f.Log.Handler() != nil {
+	if err != nil || f.Localities() != nil || f.Log.Handler(io.Discard) != nil {
 		t.Errorf("without the variable: %v, %v", f, err)
 	}
 }
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
-	"os"
 )
 
 // Log says how the balancer writes its log.
@@ -15,11 +15,11 @@
 }
 
 // logHandlers has what makes the handler of each format. It is nil for the default logger of package slog.
-var logHandlers = map[string]func(*slog.HandlerOptions) slog.Handler{
+var logHandlers = map[string]func(io.Writer, *slog.HandlerOptions) slog.Handler{
 	"":      nil,
 	"plain": nil,
-	"text":  func(o *slog.HandlerOptions) slog.Handler { return slog.NewTextHandler(os.Stderr, o) },
-	"json":  func(o *slog.HandlerOptions) slog.Handler { return slog.NewJSONHandler(os.Stderr, o) },
+	"text":  func(w io.Writer, o *slog.HandlerOptions) slog.Handler { return slog.NewTextHandler(w, o) },
+	"json":  func(w io.Writer, o *slog.HandlerOptions) slog.Handler { return slog.NewJSONHandler(w, o) },
 }
 
 // logLevels has the levels by their names.
@@ -39,13 +39,13 @@
 	return nil
 }
 
-// Handler returns a new handler of the log, or nil if the default logger is to stay.
-func (l Log) Handler() slog.Handler {
+// Handler returns a new handler that writes the log to w, or nil if the default logger is to stay.
+func (l Log) Handler(w io.Writer) slog.Handler {
 	newHandler := logHandlers[l.Format]
 	if newHandler == nil {
 		return nil
 	}
-	return newHandler(&slog.HandlerOptions{Level: l.MinLevel()})
+	return newHandler(w, &slog.HandlerOptions{Level: l.MinLevel()})
 }
 
 // MinLevel is the lowest level that is written.
