Let clients leave and upstreams break connections in the soak of drains

Need: other faults beside a drain. Change: a tenth of the requests has a client that leaves after up to 1.5 s, a fifth an upstream that breaks the connection before or in the middle of its answer. A request that is forwarded over 0.1 s (and a hold-up) after its client left fails the soak.

--- a/cmd/balancer/drain_test.go
+++ b/cmd/balancer/drain_test.go
@@ -44,13 +44,17 @@
 var hangingRequest = rawRequest("delay=20s", "20000", "")
 
 // slowUpstream answers after the query's delay, and pauses in the middle of a body of the query's size. With "chunked" the
-// answer has no length.
+// answer has no length; with "break" the connection breaks in the middle, with "abort"
+// before the answer.
 func slowUpstream(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	_, _ = io.Copy(io.Discard, r.Body)
 	if !waitOrGone(r, query.Get("delay")) {
 		return
 	}
+	if query.Has("abort") {
+		panic(http.ErrAbortHandler)
+	}
 	size, _ := strconv.Atoi(query.Get("size"))
 	half := strings.Repeat("x", size/2)
 	if !query.Has("chunked") {
@@ -58,6 +62,9 @@
 	}
 	_, _ = io.WriteString(w, half)
 	_ = http.NewResponseController(w).Flush()
+	if query.Has("break") {
+		panic(http.ErrAbortHandler)
+	}
 	if !waitOrGone(r, query.Get("pause")) {
 		return
 	}
--- a/cmd/balancer/drainsoak_test.go
+++ b/cmd/balancer/drainsoak_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	soakSlack   = 500 * time.Millisecond
 	// maxHoldUp is for how long a process is stopped at most.
 	maxHoldUp = 150 * time.Millisecond
+	// leaveGrace is how long after a client has left its request may still be forwarded, beside a hold-up.
+	leaveGrace = 100 * time.Millisecond
 )
 
 // drainSoak is one seed's play: a balancer, and clients that use its connections for as long as they are open.
@@ -47,6 +50,7 @@
 
 	mu         sync.Mutex // guards the fields below
 	forwarded  map[string]int
+	left       map[string]time.Time // when the client of a request left
 	lastID     int
 	doorClosed time.Time // no connection is opened from then on; zero: the balancer is open
 	answers    map[int]int
@@ -89,6 +93,9 @@
 		if s.forwarded[id] > 1 {
 			s.violations = append(s.violations, fmt.Sprintf("request %s was forwarded %d times", id, s.forwarded[id]))
 		}
+		if left, ok := s.left[id]; ok && time.Since(left) > leaveGrace+maxHoldUp {
+			s.violations = append(s.violations, fmt.Sprintf("request %s was forwarded %v after its client left", id, time.Since(left)))
+		}
 		s.mu.Unlock()
 	}
 	slowUpstream(w, r)
@@ -102,6 +109,8 @@
 	pieces   int           // in which it is sent
 	sendTime time.Duration // that all pieces take together
 	sized    bool          // its response comes in one piece
+	breaks   bool          // its upstream breaks the connection
+	patience time.Duration // after which its client leaves; 0: it stays
 }
 
 // draw draws a request: answered at once, late or never, in one piece or several, sent at once or slowly.
@@ -113,7 +122,7 @@
 	r := soakRequest{id: id, deadline: time.Duration(500+rng.IntN(7000)) * time.Millisecond, pieces: 1, sized: true}
 	query := fmt.Sprintf("delay=%dms", rng.IntN(2500))
 	body := ""
-	switch rng.IntN(8) {
+	switch rng.IntN(10) {
 	case 0:
 		query = "delay=20s"
 	case 1, 2:
@@ -127,9 +136,17 @@
 		r.pieces, r.sendTime = 8, time.Duration(rng.IntN(1500))*time.Millisecond
 	case 5:
 		r.pieces, r.sendTime = 3, time.Duration(rng.IntN(1800))*time.Millisecond
+	case 6:
+		query = "abort" // the request fails, with a response
+	case 7:
+		query = "size=200000&break"
+		r.breaks, r.sized = true, false
 	default:
 		query = ""
 	}
+	if rng.IntN(10) == 0 {
+		r.patience = time.Duration(1+rng.IntN(1500)) * time.Millisecond
+	}
 	if !r.sized {
 		r.deadline = 20 * time.Second
 	}
@@ -190,7 +207,14 @@
 		c.set(conn, began, time.Time{})
 		sent := c.send(conn, request)
 		c.set(conn, began, time.Now())
+		if request.patience > 0 {
+			conn.SetReadDeadline(time.Now().Add(request.patience))
+		}
 		again := c.await(in, request, sent, first)
+		if !again {
+			c.leave(conn, request)
+		}
+		conn.SetReadDeadline(time.Time{})
 		c.set(conn, time.Time{}, time.Time{})
 		if !again {
 			return
@@ -218,6 +242,9 @@
 func (c *soakClient) await(in *bufio.Reader, r soakRequest, sent error, first bool) (again bool) {
 	sentAt := time.Now()
 	response, err := http.ReadResponse(in, nil)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false // the client leaves
+	}
 	if err != nil {
 		// A request that crosses the end of a connection between two requests is sent again; none else may be closed on.
 		if n := c.timesForwarded(r.id); n > 0 {
@@ -228,6 +255,9 @@
 		return false
 	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if r.breaks || errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
 		c.violation("the response to request %s broke off: %v", r.id, err)
 		return false
 	}
@@ -240,6 +270,14 @@
 	return !response.Close
 }
 
+// leave closes a connection for good, and notes it for the request that was the last on it.
+func (c *soakClient) leave(conn net.Conn, r soakRequest) {
+	conn.Close()
+	c.drainSoak.mu.Lock()
+	defer c.drainSoak.mu.Unlock()
+	c.left[r.id] = time.Now()
+}
+
 // hold returns what keeps a connection open: "" if there is none, or its request came before a time.
 func (c *soakClient) hold(since time.Time) string {
 	c.mu.Lock()
@@ -342,14 +380,14 @@
 }
 
 // Clients that use each connection for as long as it is open meet a drain and SIGTERM at drawn moments, with requests that wait
-// for upstreams that hang, come in parts either way, or are late. No request that was forwarded goes without its response, none
+// for upstreams that hang or break the connection, come in parts either way, or are late; some leave. No request that was forwarded goes without its response, none
 // is forwarded twice, and 4 s after a drain, and at the kill, nothing is held that must not be.
 func TestDrainAtAnyMoment(t *testing.T) {
 	program := balancerCommand(t)
 	for seed := *firstSoakSeed; seed < *firstSoakSeed+*soakSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			s := &drainSoak{seed: seed, over: make(chan struct{}), forwarded: map[string]int{}, answers: map[int]int{}}
+			s := &drainSoak{seed: seed, over: make(chan struct{}), forwarded: map[string]int{}, left: map[string]time.Time{}, answers: map[int]int{}}
 			command := exec.Command(program.Path, program.Args[1:]...)
 			command.Dir = program.Dir
 			s.process, s.address, s.operators = startPatientBalancer(t, command, s.serveUpstream)
