--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -30,7 +30,8 @@
 		f.forget(conn)
 		return
 	}
-	f.metrics.conns.moved(f.conns[conn].state, state, f.isTracked(conn))
+	f.forget(conn) // in its former state
+	f.metrics.conns.added(state)
 	f.conns[conn] = connStatus{state: state, since: f.now()}
 	if state == http.StateIdle {
 		conn.onAnswered()
@@ -44,28 +45,29 @@
 // closeAfterDrainedResponse closes a connection that has become idle where clients are sent away: its response began too
 // early to say so. Waiting for the next sweep would let its client send another request.
 func (f *frontend) closeAfterDrainedResponse(conn *framingConn) {
-	cause := closedByDrain
-	if f.shuttingDown.Load() {
-		cause = closedByShutdown
-	}
-	ends := f.sendsClientsAway() || conn.isShut() // the latter where a drain has ended meanwhile
-	if ends && conn.closeIfIdle() {
-		f.metrics.conns.countClose(cause)
+	cause, away := f.awayCause()
+	switch {
+	case away:
+		f.closeIfIdle(conn, cause)
+	case conn.isShut(): // a drain has ended meanwhile
+		f.closeIfIdle(conn, closedByDrain)
 	}
 }
 
-// isTracked reports whether a connection is among the open ones. The lock is held.
-func (f *frontend) isTracked(conn *framingConn) bool {
-	_, tracked := f.conns[conn]
-	return tracked
+// closeIfIdle closes a connection if it is between two requests, and counts that.
+func (f *frontend) closeIfIdle(conn *framingConn, cause closeCause) {
+	if conn.closeIfIdle() {
+		f.metrics.conns.countClose(cause)
+	}
 }
 
-// forget removes a connection from the open ones. The lock is held.
+// forget removes a connection from the open ones, if it is one of them. The lock is held.
 func (f *frontend) forget(conn *framingConn) {
-	if !f.isTracked(conn) {
+	status, tracked := f.conns[conn]
+	if !tracked {
 		return
 	}
-	f.metrics.conns.removed(f.conns[conn].state)
+	f.metrics.conns.removed(status.state)
 	delete(f.conns, conn)
 }
 
@@ -101,11 +103,8 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	for conn, status := range f.conns {
-		if status.state != http.StateIdle && now-status.since < minSilence {
-			continue
-		}
-		if closedNow := conn.closeIfIdle(); closedNow {
-			f.metrics.conns.countClose(cause)
+		if status.state == http.StateIdle || now-status.since >= minSilence {
+			f.closeIfIdle(conn, cause)
 		}
 	}
 }
--- a/internal/proxy/connmetrics.go
+++ b/internal/proxy/connmetrics.go
@@ -33,16 +33,11 @@
 	return m
 }
 
-// moved notes a connection that enters a state, from the former one if it was tracked before.
-func (m connMetrics) moved(from, to http.ConnState, tracked bool) {
-	if tracked {
-		m.open[from].Add(-1)
-	}
-	m.open[to].Add(1)
-}
+// added notes a connection that enters a state.
+func (m connMetrics) added(state http.ConnState) { m.open[state].Add(1) }
 
-// removed notes that a connection in a state is not open any more.
-func (m connMetrics) removed(from http.ConnState) { m.open[from].Add(-1) }
+// removed notes a connection that leaves a state.
+func (m connMetrics) removed(state http.ConnState) { m.open[state].Add(-1) }
 
 // countClose counts a connection that is closed, now or after its response.
 func (m connMetrics) countClose(cause closeCause) { m.closed[cause].Inc() }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -135,23 +135,32 @@
 	x.serve()
 }
 
-// sendsClientsAway reports whether a drain or a shutdown has begun.
-func (f *frontend) sendsClientsAway() bool { return f.shuttingDown.Load() || f.draining.Load() }
-
-// closesConns reports whether each connection is to be closed once its present request is answered, and why. The answer holds for
-// the moment: it has to be asked for when the response is written, not only when its request comes.
-func (f *frontend) closesConns() (cause closeCause, closes bool) {
+// awayCause reports whether clients are sent away, by a shutdown or a drain that has begun, and by which.
+func (f *frontend) awayCause() (cause closeCause, away bool) {
 	switch {
 	case f.shuttingDown.Load():
 		return closedByShutdown, true
 	case f.draining.Load():
 		return closedByDrain, true
-	case f.nearConnLimit():
-		return closedByLimit, true
 	}
 	return "", false
 }
 
+// sendsClientsAway reports whether a drain or a shutdown has begun.
+func (f *frontend) sendsClientsAway() bool {
+	_, away := f.awayCause()
+	return away
+}
+
+// closesConns reports whether each connection is to be closed once its present request is answered, and why. The answer holds for
+// the moment: it has to be asked for when the response is written, not only when its request comes.
+func (f *frontend) closesConns() (cause closeCause, closes bool) {
+	if cause, away := f.awayCause(); away {
+		return cause, true
+	}
+	return closedByLimit, f.nearConnLimit()
+}
+
 // closeAfterResponse makes net/http close the connection once the present request is answered.
 func (f *frontend) closeAfterResponse(w http.ResponseWriter, cause closeCause) {
 	if w.Header().Get("Connection") == "" { // not asked for before
