--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"time"
@@ -128,7 +127,7 @@
 
 // logEnd logs how the request ended, where the log has that much detail.
 func (x *exchange) logEnd(began time.Time) {
-	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+	if !debugLogged() {
 		return
 	}
 	header := x.httpRequest.Header
--- a/internal/proxy/logwriter.go
+++ b/internal/proxy/logwriter.go
@@ -28,17 +28,11 @@
 // info queues an entry. One that the queue has no capacity for is lost.
 func (w *logWriter) info(text string, keys ...any) { w.add(logEntry{slog.LevelInfo, text, keys}) }
 
-// debug queues an entry if the log has that much detail.
-func (w *logWriter) debug(text string, keys ...any) {
-	if w.detailed() {
-		w.add(logEntry{slog.LevelDebug, text, keys})
-	}
-}
+// debug queues an entry that is written only where debugLogged says so. Whoever makes one asks first: its values cost time.
+func (w *logWriter) debug(text string, keys ...any) { w.add(logEntry{slog.LevelDebug, text, keys}) }
 
-// detailed reports whether debug entries are written.
-func (w *logWriter) detailed() bool {
-	return slog.Default().Enabled(context.Background(), slog.LevelDebug)
-}
+// debugLogged reports whether debug entries are written.
+func debugLogged() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
 
 func (w *logWriter) add(entry logEntry) {
 	select {
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -55,7 +55,7 @@
 	a.outcomeDelivered = true
 	req := a.request
 	now := l.now()
-	if l.log.detailed() {
+	if debugLogged() {
 		l.log.debug("attempt ended", "request", req.message.header.Get("X-Request-Id"), "attempt", a.index,
 			"upstream", a.address, "status", r.status, "after", (now - a.sentAt).Round(time.Millisecond), "closed", req.closed)
 	}
