--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -17,6 +17,7 @@
 	"maps"
 	"net/netip"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"time"
@@ -101,7 +102,7 @@
 	Known      endpointList    `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 
-	unusedKeys []string
+	text []byte // the complete file
 }
 
 // fileLimits are the limits of the process in the configuration file.
@@ -164,24 +165,23 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	f.unusedKeys = unusedKeys(text)
+	f.text = text
 	return &f, nil
 }
 
 // maxUnusedKeys is how many unused keys are kept at most.
 const maxUnusedKeys = 16
 
-// usedKeys are the keys of the configuration file's top level.
-var usedKeys = []string{"name", "listen", "discovery", "management", "seed", "limits", "known", "settings"}
-
 // unusedKeys returns the keys of a configuration's top level that are not used, sorted.
 func unusedKeys(text []byte) []string {
 	var all map[string]json.RawMessage
 	if json.Unmarshal(text, &all) != nil {
 		return nil
 	}
-	for _, key := range usedKeys {
-		delete(all, key)
+	for _, field := range reflect.VisibleFields(reflect.TypeFor[configFile]()) {
+		if key, ok := field.Tag.Lookup("json"); ok {
+			delete(all, key)
+		}
 	}
 	unused := slices.Sorted(maps.Keys(all))
 	return unused[:min(len(unused), maxUnusedKeys)]
@@ -211,7 +211,7 @@
 		Known:      f.Known,
 		MemoryMB:   f.Limits.MemoryMB,
 		Sockets:    f.Limits.Sockets,
-		UnusedKeys: f.unusedKeys,
+		UnusedKeys: unusedKeys(f.text),
 	}
 	if err := c.checkAddresses(); err != nil {
 		return c, err
