--- a/cmd/balancer/drain_test.go
+++ b/cmd/balancer/drain_test.go
@@ -44,8 +44,7 @@
 var hangingRequest = rawRequest("delay=20s", "20000", "")
 
 // slowUpstream answers after the query's delay, and pauses in the middle of a body of the query's size. With "chunked" the
-// answer has no length; with "break" the connection breaks in the middle, with "abort"
-// before the answer.
+// answer has no length; with "break" the connection breaks in the middle, with "abort" before the answer.
 func slowUpstream(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -265,9 +264,7 @@
 // count. What settled it: the responses and ages that this test prints, and the log of the balancer, which has "drain
 // begun", and 4 s later "drain goes on" with the open connections.
 func TestDrainReleasesConnectionsInUse(t *testing.T) {
-	p, address, operators := startPatientBalancer(t, balancerCommand(t), slowUpstream)
-	clients := startDrainClients(t, address)
-	waitForActive(t, operators)
+	p, address, operators, clients := startDrainScenario(t)
 	drainedAt := time.Now()
 	p.holdUp(t)
 	if answer := callManagement(operators, "drain-on"); answer != "YES draining" {
@@ -293,12 +290,10 @@
 	}
 }
 
-// A shutdown meets the same connections, and the process is held up as it begins. Each request that is complete gets its response, nothing that comes behind it is
-// taken, and the process ends by itself soon after the last response.
+// A shutdown meets the same connections, and the process is held up as it begins. Each request that is complete gets its
+// response, nothing that comes behind it is taken, and the process ends by itself soon after the last response.
 func TestShutdownReleasesConnectionsInUse(t *testing.T) {
-	p, address, operators := startPatientBalancer(t, balancerCommand(t), slowUpstream)
-	clients := startDrainClients(t, address)
-	waitForActive(t, operators)
+	p, _, _, clients := startDrainScenario(t)
 	terminatedAt := time.Now()
 	p.holdUp(t)
 	p.signal(t, syscall.SIGTERM)
@@ -325,6 +320,15 @@
 	}
 }
 
+// startDrainScenario starts a balancer and all clients of a drain, and waits until their requests have begun.
+func startDrainScenario(t *testing.T) (p *process, address, operators string, clients []*persistentClient) {
+	t.Helper()
+	p, address, operators = startPatientBalancer(t, balancerCommand(t), slowUpstream)
+	clients = startDrainClients(t, address)
+	waitForActive(t, operators)
+	return p, address, operators, clients
+}
+
 // holdUp stops the process for maxHoldUp, as a machine does that has no processor for it.
 func (p *process) holdUp(t *testing.T) {
 	t.Helper()
@@ -338,8 +342,7 @@
 	operators = freeAddress(t)
 	var upstreams []endpoint
 	for i := range drainUpstreams {
-		actual := serveHTTP(t, "127.0.0.1:0", upstream)
-		upstreams = append(upstreams, endpoint{ID: fmt.Sprintf("s-%08x", i+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1})
+		upstreams = append(upstreams, startUpstream(t, i, "127.0.0.1:0", upstream))
 	}
 	agent := startAgent(t, "127.0.0.1:0", upstreams)
 	address = freeAddress(t)
--- a/cmd/balancer/main_test.go
+++ b/cmd/balancer/main_test.go
@@ -76,9 +76,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	p := &process{Cmd: balancerCommand(t), template: configTemplate, configPath: filepath.Join(t.TempDir(), "config.json")}
-	p.writeConfig(t, freeAddress(t), freeAddress(t))
-	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.configPath, "RELAY_MANAGEMENT="+l.Addr().String())
+	p := newProcess(t, balancerCommand(t), configTemplate, freeAddress(t), freeAddress(t))
+	p.Env = append(p.Env, "RELAY_MANAGEMENT="+l.Addr().String())
 	out := wantStartFailure(t, p.Cmd, "listening for operators")
 	if strings.Contains(out, "panic") {
 		t.Errorf("panicked: %s", out)
--- a/cmd/balancer/process_test.go
+++ b/cmd/balancer/process_test.go
@@ -90,6 +90,21 @@
 
 // startConfigured is startProcess with another configuration than configTemplate.
 func startConfigured(t *testing.T, cmd *exec.Cmd, template, listen, discovery string, listener *os.File) *process {
+	t.Helper()
+	p := newProcess(t, cmd, template, listen, discovery)
+	if listener != nil {
+		p.ExtraFiles = []*os.File{listener}
+		p.Env = append(p.Env, "RELAY_FD="+inheritedListenerFD)
+	}
+	p.Stdout = &p.log
+	p.Stderr = &p.log
+	p.launch(t)
+	p.waitUntilHealthy(t, listen)
+	return p
+}
+
+// newProcess writes a command's configuration and sets its environment; it does not start it.
+func newProcess(t *testing.T, cmd *exec.Cmd, template, listen, discovery string) *process {
 	t.Helper()
 	p := &process{
 		Cmd:        cmd,
@@ -100,18 +115,16 @@
 	}
 	p.writeConfig(t, listen, discovery)
 	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.configPath, "RELAY_DISCOVERY="+discovery)
-	if listener != nil {
-		p.ExtraFiles = []*os.File{listener}
-		p.Env = append(p.Env, "RELAY_FD="+inheritedListenerFD)
-	}
-	p.Stdout = &p.log
-	p.Stderr = &p.log
+	return p
+}
+
+// launch starts the process.
+func (p *process) launch(t *testing.T) {
+	t.Helper()
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
 	go func() { p.exited <- p.Wait() }()
-	p.waitUntilHealthy(t, listen)
-	return p
 }
 
 // waitUntilHealthy waits until the process answers a health check.
--- a/cmd/balancer/stalledlog_test.go
+++ b/cmd/balancer/stalledlog_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 )
@@ -31,22 +30,12 @@
 // A log that nobody reads holds nothing up: the process starts, is drained and ends as with any other. It used to wait for the
 // line of its start, and a drain for the line that announces it.
 func TestStalledLogHoldsNothingUp(t *testing.T) {
-	p := &process{
-		Cmd:        balancerCommand(t),
-		template:   configTemplate,
-		configPath: filepath.Join(t.TempDir(), "config.json"),
-		exited:     make(chan error, 1),
-		deadline:   time.After(processTimeout),
-	}
 	address, operators := freeAddress(t), freeAddress(t)
-	p.writeConfig(t, address, freeAddress(t))
-	p.Env = append(os.Environ(), "RELAY_CONFIG="+p.configPath, "RELAY_MANAGEMENT="+operators)
+	p := newProcess(t, balancerCommand(t), configTemplate, address, freeAddress(t))
+	p.Env = append(p.Env, "RELAY_MANAGEMENT="+operators)
 	p.Stderr = fillPipe(t)
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
+	p.launch(t)
 	t.Cleanup(func() { p.Process.Kill() })
-	go func() { p.exited <- p.Wait() }()
 	waitFor(t, "the process serves", func() bool { return callManagement(operators, "check") == "YES serving" })
 	called := time.Now()
 	if answer := callManagement(operators, "drain-on"); answer != "YES draining" || time.Since(called) > time.Second {
--- a/cmd/balancer/standin_test.go
+++ b/cmd/balancer/standin_test.go
@@ -81,11 +81,10 @@
 	t.Helper()
 	var endpoints []endpoint
 	for i, address := range addresses {
-		actual := serveHTTP(t, address, func(w http.ResponseWriter, _ *http.Request) {
+		entry := startUpstream(t, i, address, func(w http.ResponseWriter, _ *http.Request) {
 			served.Add(1)
 			fmt.Fprint(w, "served")
 		})
-		entry := endpoint{ID: fmt.Sprintf("s-%08x", i+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1}
 		if i == len(addresses)-1 {
 			entry.Locality = leftZone
 		}
@@ -94,6 +93,13 @@
 	return endpoints
 }
 
+// startUpstream starts the upstream of an index at an address, and returns its entry for the list.
+func startUpstream(t *testing.T, index int, address string, handler http.HandlerFunc) endpoint {
+	t.Helper()
+	actual := serveHTTP(t, address, handler)
+	return endpoint{ID: fmt.Sprintf("s-%08x", index+1), HostPort: actual, Locality: "z1", Phase: "up", Size: 1}
+}
+
 // sendRequest sends a request to a balancer. An error says what else than the upstream's answer came.
 func sendRequest(client *http.Client, balancerAddress string, id uint64) error {
 	request, err := http.NewRequest(http.MethodPost, "http://"+balancerAddress+"/c/x", nil)
