--- a/review/standin/stuckupload_test.go
+++ b/review/standin/stuckupload_test.go
@@ -38,8 +38,9 @@
 		silence   = 6 * time.Second
 		length    = 5 * time.Second
 		interval  = 50 * time.Millisecond
-		sizes     = 8
-		sizeStep  = 48 << 10
+		sizes     = 5
+		firstSize = 112 << 10 // over what the kernel holds
+		sizeStep  = 40 << 10
 	)
 	s := &stuckUploadPlay{play: p}
 	held := bytesHeldByKernel()
@@ -71,7 +72,7 @@
 	}
 	var clients sync.WaitGroup
 	for i := 0; time.Since(began) < length; i++ {
-		clients.Go(func() { s.send(held + i%sizes*sizeStep) })
+		clients.Go(func() { s.send(held + firstSize + i%sizes*sizeStep) })
 		time.Sleep(interval)
 	}
 	clients.Wait()
