Notice that an upload's client has left while its body is unread

Callers saw: a request with more than 64 KiB of body (4 KiB where the body budget is used up) queued, its client closed the connection, and 0.3 s later the request was sent to an upstream completely and ran.

Cause: net/http notices a close only by a read behind the last byte of a request. The rest of an upload is read when an attempt is written, so nothing looked for a close while it queued, waited for a connection or a retry, or while its upstream took no more bytes.

Change: socket.PeerClosed asks poll(2) for a close, also behind unread bytes. It is asked every 20 ms until the last byte of an upload has been read, when an attempt is claimed for writing, and before the last part of a body is written.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -211,18 +211,19 @@
 	return complete > 0 && complete == c.answeredCount && complete == c.scanner.headCount && !c.scanner.atRequestStart()
 }
 
-// ClosedByClient reports, without blocking, whether the client has closed or reset the connection after the bytes that have
-// been read. net/http detects that only with its next read, which runs concurrently with forwarding the request.
+// ClosedByClient reports, without blocking, whether the client has closed or reset the connection, also if bytes that it
+// sent before have not been read. net/http detects that only with the read after the last byte of a request: concurrently
+// with forwarding the request or, while the request's body is unread, not at all.
 func (c *Conn) ClosedByClient() bool {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	state, err := socket.Peek(inner)
+	closed, err := socket.PeerClosed(inner)
 	if errors.Is(err, socket.ErrPeekFailed) {
 		return false // the next read reports a disconnect, if there is one
 	}
-	return err != nil || state == socket.Closed
+	return closed || err != nil
 }
 
 // halfCloser is a connection whose write side can be closed on its own.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -58,14 +58,15 @@
 func (a *attempt) drop() bool { return a.stage.CompareAndSwap(attemptWaiting, attemptDropped) }
 
 // claim reserves the attempt for writing at the time now, and returns how long its upstream has to respond. It fails if the
-// attempt has been dropped. It drops the attempt and fails if the connection was established too late: no time remains, or
-// the idempotency window has ended, so that upstreams would no longer recognize the attempt as a retry.
+// attempt has been dropped. It drops the attempt and fails if the connection was established too late: no time remains, the
+// client of an upload has disconnected, or the idempotency window has ended, so that upstreams would no longer recognize the
+// attempt as a retry.
 func (a *attempt) claim(now time.Duration) (remaining time.Duration, ok bool) {
 	window := &a.request.window
 	window.mu.Lock()
 	defer window.mu.Unlock()
 	remaining = a.remaining(now)
-	if remaining <= 0 || window.isOver(now) {
+	if remaining <= 0 || window.isOver(now) || a.request.hasClientGone() {
 		a.drop()
 	}
 	if !a.stage.CompareAndSwap(attemptWaiting, attemptClaimed) {
--- a/internal/proxy/attemptwriter.go
+++ b/internal/proxy/attemptwriter.go
@@ -15,7 +15,7 @@
 // copyBufferSize is the size, in bytes, of the buffers through which bodies are streamed.
 const copyBufferSize = 16 << 10
 
-// errClientBody means that the client did not send its complete body. The upstream is not at fault.
+// errClientBody means that the client did not send its complete body, or has disconnected. The upstream is not at fault.
 var errClientBody = errors.New("the client's body is incomplete")
 
 // copyBuffers is a pool of *[copyBufferSize]byte for streaming bodies.
@@ -71,6 +71,9 @@
 			part = chunk(buf[:n])
 		}
 		if errors.Is(err, io.EOF) {
+			if a.request.hasClientGone() { // its close followed bytes that had not been read until now
+				return progress, errClientBody
+			}
 			progress.complete, err = writeLastPart(m, part, c)
 			return progress, err
 		}
--- a/internal/proxy/dialer.go
+++ b/internal/proxy/dialer.go
@@ -83,6 +83,10 @@
 	}
 	// The upstream may have sent a response that says why it stopped reading the upload.
 	c.SetReadDeadline(time.Now().Add(d.timeout))
+	if a.abandoned.Load() { // checked after SetReadDeadline, which may have replaced the expired deadline set by abandon
+		c.Close()
+		return attemptResult{status: balancer.ConnectFailed, bodyConsumed: progress.bodyConsumed}
+	}
 	r := d.readResponse(c)
 	if r.status != balancer.Rejected {
 		c.Close()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sprucehill/internal/framing"
+	"sprucehill/internal/timelimit"
 )
 
 // requestEnd is how a request ended for its client, as it is logged.
@@ -56,6 +57,8 @@
 // ends early. disconnected reports a disconnect that net/http can't detect.
 func (x *exchange) awaitResponse(conn *framing.Conn, disconnected <-chan struct{}) {
 	contextDone := x.httpRequest.Context().Done() // closed on a disconnect, and also when the body ends early
+	uploadChecks, stopUploadChecks := x.startUploadChecks()
+	defer stopUploadChecks()
 	for {
 		select {
 		case resp := <-x.request.reply:
@@ -73,10 +76,27 @@
 		case <-x.body.failed:
 			x.abandon(endBodyFailed)
 			return
+		case <-uploadChecks:
+			if x.received() {
+				uploadChecks = nil // from here on net/http detects a disconnect
+			} else if conn.ClosedByClient() {
+				x.abandon(endDisconnected)
+				return
+			}
 		}
 	}
 }
 
+// startUploadChecks returns a channel that delivers a tick at each time at which the connection of an upload has to be
+// checked, and a function that releases its resources. The channel is nil for other requests.
+func (x *exchange) startUploadChecks() (checks <-chan time.Time, stop func()) {
+	if !x.request.Upload {
+		return nil, func() {}
+	}
+	ticker := time.NewTicker(timelimit.UploadCheckInterval)
+	return ticker.C, ticker.Stop
+}
+
 // received reports whether the request has arrived with its complete body.
 func (x *exchange) received() bool {
 	return !x.request.Upload || x.body.complete.Load()
--- a/internal/proxy/requestparse.go
+++ b/internal/proxy/requestparse.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sprucehill/balancer"
+	"sprucehill/internal/framing"
 	"sprucehill/internal/timelimit"
 )
 
@@ -64,7 +65,7 @@
 			f.bodyBudget.release(cap(buffered))
 			return nil, nil, fmt.Errorf("body: %w", err)
 		}
-		f.setUpload(parsed, body, r.ContentLength)
+		f.setUpload(parsed, body, r.ContentLength, conn)
 	}
 	f.setAttributes(parsed, class, r)
 	return parsed, body, nil
@@ -109,9 +110,10 @@
 }
 
 // setUpload turns a request into an upload, whose body is forwarded while it is received.
-func (f *frontend) setUpload(req *request, body *requestBody, contentLength int64) {
+func (f *frontend) setUpload(req *request, body *requestBody, contentLength int64, conn *framing.Conn) {
 	req.Upload = true
 	req.timeLeft = f.lifecycle.timeLeft
+	req.clientGone = conn.ClosedByClient
 	req.message.rest = body
 	req.message.contentLength = contentLength
 	body.onComplete = func() { f.metrics.inProgress.Add(1) }
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -45,6 +45,52 @@
 	})
 }
 
+// PeerClosed reports a close or reset also while data that arrived before is unread, and neither consumes that data nor takes
+// it for a close. Guards against a close that goes unnoticed until the data has been read.
+func TestPeerClosed(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		unread string // what the peer sends before its action
+		action func(peer *net.TCPConn) error
+		closed bool
+	}{
+		{"open", "", func(*net.TCPConn) error { return nil }, false},
+		{"open with unread data", "unread", func(*net.TCPConn) error { return nil }, false},
+		{"closed", "", func(peer *net.TCPConn) error { return peer.Close() }, true},
+		{"closed behind unread data", "unread", func(peer *net.TCPConn) error { return peer.Close() }, true},
+		{"write side closed behind unread data", "unread", func(peer *net.TCPConn) error { return peer.CloseWrite() }, true},
+		{"reset behind unread data", "unread", func(peer *net.TCPConn) error { peer.SetLinger(0); return peer.Close() }, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, peer := tcpPair(t)
+			if _, err := peer.Write([]byte(test.unread)); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "the data has arrived", func() bool {
+				state, err := Peek(c)
+				return err == nil && (state == Readable) == (test.unread != "")
+			})
+			if err := test.action(peer); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "PeerClosed returns the state", func() bool {
+				closed, err := PeerClosed(c)
+				return err == nil && closed == test.closed
+			})
+			closed, err := PeerClosed(c)
+			assertEqual(t, "closed at a second call", closed, test.closed)
+			assertEqual(t, "error", err, nil)
+		})
+	}
+	t.Run("closed on this side", func(t *testing.T) {
+		c, _ := tcpPair(t)
+		c.Close()
+		if _, err := PeerClosed(c); err == nil {
+			t.Error("PeerClosed returned no error")
+		}
+	})
+}
+
 // tcpPair returns the two ends of a TCP connection.
 func tcpPair(t *testing.T) (conn, peer *net.TCPConn) {
 	t.Helper()
--- a/internal/timelimit/limits.go
+++ b/internal/timelimit/limits.go
@@ -29,6 +29,11 @@
 	RequestSilence = 2900 * time.Millisecond
 	// FirstBodyByte is the minimum time allowed for the first bytes of a body, if RequestSilence leaves less after a slow head.
 	FirstBodyByte = 400 * time.Millisecond
+	// UploadCheckInterval is the interval at which the connection of an upload is checked until its last byte has been read:
+	// nothing reads from it while its upstream takes no more.
+	//
+	// Platform: nothing is forwarded later than 0.1 s after a client has disconnected.
+	UploadCheckInterval = 20 * time.Millisecond
 	// ClientWriteTimeout bounds how long a client may take to read its response, or each part of a streamed response.
 	ClientWriteTimeout = 10 * time.Second
 	// ClientIdleTimeout bounds how long a connection may be idle between two requests.
