Count the time of an upload from when its last byte has arrived

Callers saw: while one upstream hung, a client that waits 2 s for a request of some 4 MB got its final answer 5.2 s after its last byte. Upstreams were told more time than was left to the client.

Cause: the time of an upload began when its last byte had been written to an upstream. Before that it had no deadline; only the 5 s for which an upstream may take nothing ended each attempt.

An upstream that goes on after 0.75 s of 0.8 s was given a whole timeout anew.

Change: framing.Conn.Arrival finds the end of a request in the unread bytes, without consuming them: by their number, or by the lines between chunks. An upload is looked at every 20 ms until its last byte has been read, and as an attempt is written. From the arrival it has a deadline in the event loop and, by the new event OnBodyReceived, in the decision module. The limits of a drain and by SIGKILL count from there too.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -41,7 +41,7 @@
 func (b *Balancer) newRequest(q Request, c *class, now time.Duration) *request {
 	r := &request{Request: q, class: c, deadline: now + q.Timeout}
 	if q.Upload {
-		r.deadline = math.MaxInt64 // until OnBodySent
+		r.deadline = math.MaxInt64 // until OnBodyReceived
 	}
 	b.observeCostHint(q)
 	r.workUnits = b.expectedWork(q, c)
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -76,7 +76,18 @@
 	}
 }
 
-// OnBodySent records that an upload has been forwarded completely: its timeout and its execution begin.
+// OnBodyReceived starts the timeout of an upload. It may still be queued, or its body may still be forwarded.
+func (b *Balancer) OnBodyReceived(now time.Duration, id RequestID, timeout time.Duration) {
+	r := b.requests[id]
+	if r == nil || r.finished {
+		return
+	}
+	r.deadline = min(r.deadline, now+timeout)
+	r.attemptBy = min(r.attemptBy, r.deadline-b.tick)
+}
+
+// OnBodySent records that an upload has been forwarded completely: its execution begins, and its timeout unless it runs
+// already.
 func (b *Balancer) OnBodySent(now time.Duration, id RequestID, index int) {
 	r, a := b.findAttempt(id, index)
 	if a == nil || !a.uploading {
@@ -85,7 +96,7 @@
 	a.uploading = false
 	a.sentAt = now
 	r.bodyConsumed = true
-	r.deadline = now + r.Timeout
+	r.deadline = min(r.deadline, now+r.Timeout)
 }
 
 // OnStreamStarted finishes a request whose streamed response has begun.
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -8,7 +8,10 @@
 	OnEndpointUpdate(now time.Duration, mode UpdateMode, list []Endpoint)
 	// OnRequest delivers a new client request.
 	OnRequest(now time.Duration, r Request)
-	// OnBodySent reports that the last byte of an Upload has been sent. The timeout of the request begins.
+	// OnBodyReceived reports that the last byte of an Upload has arrived, before or after the request is sent. The request's
+	// timeout, of which the given part remains, runs from then on.
+	OnBodyReceived(now time.Duration, id RequestID, timeout time.Duration)
+	// OnBodySent reports that the last byte of an Upload has been sent. The timeout begins at the latest now.
 	OnBodySent(now time.Duration, id RequestID, attempt int)
 	// OnStreamStarted reports that a streamed response has begun.
 	OnStreamStarted(now time.Duration, id RequestID, attempt int)
@@ -72,7 +75,7 @@
 	Retry   bool // a retry by the client
 	// CostHint is the expected CPU time on a standard core; 0: unknown.
 	CostHint time.Duration
-	// Upload marks a request whose body is forwarded while it is received. Its Timeout runs from OnBodySent. It has one
+	// Upload marks a request whose body is forwarded while it is received. Its Timeout runs from OnBodyReceived. It has one
 	// attempt at a time, and none after a result with BodyConsumed.
 	Upload bool
 }
--- a/balancer/request_test.go
+++ b/balancer/request_test.go
@@ -41,3 +41,43 @@
 		t.Errorf("after its body was consumed: %v", effects.calls)
 	}
 }
+
+// The timeout of an upload begins when its body has been received, before or after it is sent. A later OnBodySent does not extend
+// it. Guards against an upload that is sent, or waits in the queue, after its client has given up.
+func TestUploadTimeoutBeginsWhenTheBodyIsReceived(t *testing.T) {
+	const received, left = time.Hour + 100*time.Millisecond, 700 * time.Millisecond
+	upload := Request{ID: 1, Class: "read", Timeout: time.Second, Upload: true}
+	t.Run("in flight", func(t *testing.T) {
+		b, effects := newTestBalancer(t, testSettings(), fleet(4))
+		b.OnRequest(time.Hour, upload)
+		r := b.requests[1]
+		b.OnBodyReceived(received, 1, left)
+		b.OnBodySent(received+50*time.Millisecond, 1, 0)
+		if r.deadline != received+left {
+			t.Errorf("deadline %v, want %v", r.deadline, received+left)
+		}
+		b.OnAttemptResult(received+left, AttemptResult{ID: 1, Endpoint: r.attempts[0].endpoint.ID, Status: ConnectFailed})
+		if effects.count("send id=1") != 1 || effects.count("refuse id=1") != 1 {
+			t.Errorf("after its deadline: %v", effects.calls)
+		}
+	})
+	t.Run("queued", func(t *testing.T) {
+		b, effects := newTestBalancer(t, testSettings(), nil)
+		b.OnRequest(time.Hour, upload)
+		if !b.requests[1].queued {
+			t.Fatal("not queued")
+		}
+		b.OnBodyReceived(time.Hour, 1, 2*b.tick)
+		b.OnTimer(time.Hour+b.tick, tickToken)
+		if effects.count("refuse id=1") != 1 {
+			t.Errorf("one tick before its deadline: %v", effects.calls)
+		}
+	})
+	t.Run("unknown or finished", func(t *testing.T) {
+		b, _ := newTestBalancer(t, testSettings(), fleet(4))
+		b.OnBodyReceived(time.Hour, 77, left)
+		b.OnRequest(time.Hour, upload)
+		b.OnClientDisconnected(time.Hour, 1)
+		b.OnBodyReceived(received, 1, left)
+	})
+}
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -30,7 +30,8 @@
 	closedIdle    bool      // closed by CloseIfIdle, between two requests
 	answeredCount int       // requests that have been answered
 	// arrivals holds, for each complete request that is not answered, when its last byte arrived, the current request first.
-	arrivals []time.Duration
+	arrivals  []time.Duration
+	unreadEnd unreadEnd
 	readAhead
 }
 
@@ -64,7 +65,7 @@
 }
 
 // ArrivedAt returns when the last byte of the current request arrived, on the clock of NewConn, or the present time if it
-// has not arrived. A pipelined request may have arrived long before the previous one was answered.
+// has not been read. A pipelined request may have arrived long before the previous one was answered.
 func (c *Conn) ArrivedAt() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -144,6 +145,7 @@
 	requestComplete := c.scanner.requestCount > c.answeredCount
 	n, found, err := c.readBuffered(p)
 	readAt := c.bufferedAt
+	c.unreadEnd.reading = !found
 	c.mu.Unlock()
 	if !found {
 		n, err = c.Conn.Read(p)
@@ -151,6 +153,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unreadEnd.reading = false
 	if c.readingEnded {
 		return 0, net.ErrClosed
 	}
@@ -180,8 +183,9 @@
 		c.headStartedAt = c.now()
 	}
 	valid, framingErr = c.scanner.scan(p)
+	c.unreadEnd.consume(len(p), readAt)
 	for range c.scanner.requestCount - complete {
-		c.arrivals = append(c.arrivals, readAt)
+		c.arrivals = append(c.arrivals, c.unreadEnd.endRequest(readAt))
 	}
 	nextBegan := !c.scanner.atRequestStart() && (atStart || c.scanner.requestCount > complete)
 	if nextBegan {
--- a/internal/lab/model/policy.go
+++ b/internal/lab/model/policy.go
@@ -196,6 +196,9 @@
 	delete(b.requests, id)
 }
 
+// OnBodyReceived does nothing.
+func (b *baseline) OnBodyReceived(time.Duration, balancer.RequestID, time.Duration) {}
+
 // OnBodySent does nothing.
 func (b *baseline) OnBodySent(time.Duration, balancer.RequestID, int) {}
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -32,7 +32,7 @@
 	sentAt   time.Duration // on the loop's clock
 	address  string        // host:port of the upstream
 	// deadline is when the balancer stops waiting for the attempt, on the loop's clock. It is noDeadline for an upload
-	// without a per-attempt timeout: its time starts to run when its last byte has been written.
+	// without a per-attempt timeout whose last byte had not arrived when the attempt was started: see upload.
 	deadline         time.Duration
 	head             []byte        // request line and header; rendered once the attempt is claimed
 	stage            atomic.Int32  // one of the stages above
@@ -43,12 +43,12 @@
 }
 
 // remaining returns how long after now, on the loop's clock, the balancer will wait for the attempt's response. Until the
-// last byte of an upload has been written, that is the request's complete timeout, unless the attempt's own timeout or the
-// end of the process comes first.
+// last byte of an upload is known to have arrived, that is the request's complete timeout, unless the attempt's own timeout
+// or the end of the process comes first.
 func (a *attempt) remaining(now time.Duration) time.Duration {
 	remaining := a.deadline - now
-	if a.request.Upload {
-		remaining = min(remaining, a.request.timeLeft(now, a.request.Timeout))
+	if a.request.upload != nil {
+		remaining = min(remaining, a.request.upload.remaining(now))
 	}
 	return remaining
 }
@@ -65,6 +65,9 @@
 	window := &a.request.window
 	window.mu.Lock()
 	defer window.mu.Unlock()
+	if a.request.upload != nil {
+		a.request.upload.checkReceived()
+	}
 	remaining = a.remaining(now)
 	if remaining <= 0 || window.isOver(now) || a.request.hasClientGone() {
 		a.drop()
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -112,10 +112,20 @@
 func (r *request) uploadOf(rest io.Reader, length int64) {
 	r.Upload, r.deadline = true, noDeadline
 	r.message.rest, r.message.contentLength = rest, length
-	r.timeLeft = func(_, timeout time.Duration) time.Duration { return timeout }
+	r.upload = &upload{
+		conn:     openUploadConn{},
+		timeout:  r.Timeout,
+		timeLeft: func(_, timeout time.Duration) time.Duration { return timeout },
+	}
 	clientDeadlines.put(r.message.header.Get("X-Request-Id"), &clientRequest{budget: r.Timeout})
 }
 
+// openUploadConn is the connection of a client that has not sent the last byte of its upload.
+type openUploadConn struct{}
+
+func (openUploadConn) ClosedByClient() bool           { return false }
+func (openUploadConn) Arrival() (time.Duration, bool) { return 0, false }
+
 // The deadline of a pipelined request counts from its own last byte, although the request waits until the one before it is
 // answered. Guards against counting from the end of that wait, which gives the upstream too much time.
 func TestPipelinedDeadlineCountsFromTheLastByte(t *testing.T) {
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -47,7 +47,10 @@
 	r.attempts = append(r.attempts, a)
 	r.undelivered++
 	if r.Upload {
-		a.onBodyWritten = func() { l.post(bodySent{a}) }
+		a.onBodyWritten = func() {
+			r.upload.markReceived(l.now())
+			l.post(bodySent{a})
+		}
 	}
 	if timeout > 0 && timeout < a.remaining(now) {
 		a.deadline = now + timeout
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -18,17 +18,39 @@
 	r.ID = balancer.RequestID(l.nextSerial()) // IDs that clients send need not be unique
 	now := l.now()
 	l.requests[r.ID] = r
-	if r.Upload {
-		r.deadline = noDeadline // until its last byte has been written: see bodySent
-	} else {
-		r.deadline = r.arrivedAt + r.Timeout
-		r.Timeout = max(0, r.deadline-now)
-		l.setTimer(timer{at: r.deadline, request: r})
+	r.deadline = r.arrivedAt + r.Timeout
+	if r.upload != nil {
+		r.deadline = r.upload.knownDeadline()
+	}
+	if r.deadline == noDeadline { // until its last byte has arrived: see bodyReceived
+		l.balancer.OnRequest(now, r.Request)
+		return
 	}
+	r.Timeout = max(0, r.deadline-now)
+	l.setTimer(timer{at: r.deadline, request: r})
 	l.balancer.OnRequest(now, r.Request)
+	if r.Upload {
+		l.balancer.OnBodyReceived(now, r.ID, r.Timeout)
+	}
 }
 
-// bodySent reports that the last byte of an upload has been written to the upstream. The request's timeout starts to run.
+// bodyReceived reports that the last byte of an upload has arrived at the balancer's machine. It may be unread.
+type bodyReceived struct{ request *request }
+
+func (e bodyReceived) apply(l *loop) { l.startTimeout(e.request) }
+
+// startTimeout starts the timeout of an upload whose last byte has arrived, unless it runs already.
+func (l *loop) startTimeout(r *request) {
+	if r.closed || r.deadline != noDeadline {
+		return
+	}
+	now := l.now()
+	r.deadline = r.upload.knownDeadline()
+	l.setTimer(timer{at: r.deadline, request: r})
+	l.balancer.OnBodyReceived(now, r.ID, max(0, r.deadline-now))
+}
+
+// bodySent reports that the last byte of an upload has been written to the upstream.
 type bodySent struct{ attempt *attempt }
 
 func (e bodySent) apply(l *loop) {
@@ -39,8 +61,7 @@
 		return
 	}
 	a.sentAt = now
-	r.deadline = now + r.timeLeft(now, r.Timeout)
-	l.setTimer(timer{at: r.deadline, request: r})
+	l.startTimeout(r)
 	l.balancer.OnBodySent(now, r.ID, a.index)
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -28,6 +28,8 @@
 	body        *requestBody
 	end         requestEnd
 	status      int // of the response; 0 if none was written
+	// receivedReported is set once the loop has been told that the last byte of an upload has arrived.
+	receivedReported bool
 }
 
 // serve posts the request to the event loop and writes the loop's response, unless the client disconnects first.
@@ -49,6 +51,9 @@
 	}()
 	disconnected := conn.WatchDisconnect()
 	defer conn.StopWatchingDisconnect()
+	if x.request.upload != nil {
+		x.request.upload.checkReceived()
+	}
 	x.frontend.post(requestArrived{x.request})
 	x.awaitResponse(conn, disconnected)
 }
@@ -77,6 +82,7 @@
 			x.abandon(endBodyFailed)
 			return
 		case <-uploadChecks:
+			x.reportReceived()
 			if x.received() {
 				uploadChecks = nil // from here on net/http detects a disconnect
 			} else if conn.ClosedByClient() {
@@ -97,6 +103,18 @@
 	return ticker.C, ticker.Stop
 }
 
+// reportReceived reports to the loop, once, that the last byte of an upload has arrived.
+func (x *exchange) reportReceived() {
+	if x.receivedReported {
+		return
+	}
+	x.request.upload.checkReceived()
+	if x.request.upload.knownDeadline() != noDeadline {
+		x.receivedReported = true
+		x.frontend.post(bodyReceived{x.request})
+	}
+}
+
 // received reports whether the request has arrived with its complete body.
 func (x *exchange) received() bool {
 	return !x.request.Upload || x.body.complete.Load()
--- a/internal/proxy/requestparse.go
+++ b/internal/proxy/requestparse.go
@@ -60,6 +60,7 @@
 			body:        buffered,
 		},
 	}
+	f.setAttributes(parsed, class, r)
 	if !complete {
 		if err := body.control.EnableFullDuplex(); err != nil {
 			f.bodyBudget.release(cap(buffered))
@@ -67,7 +68,6 @@
 		}
 		f.setUpload(parsed, body, r.ContentLength, conn)
 	}
-	f.setAttributes(parsed, class, r)
 	return parsed, body, nil
 }
 
@@ -109,11 +109,10 @@
 	}
 }
 
-// setUpload turns a request into an upload, whose body is forwarded while it is received.
+// setUpload turns a request whose attributes are set into an upload, whose body is forwarded while it is received.
 func (f *frontend) setUpload(req *request, body *requestBody, contentLength int64, conn *framing.Conn) {
 	req.Upload = true
-	req.timeLeft = f.lifecycle.timeLeft
-	req.clientGone = conn.ClosedByClient
+	req.upload = &upload{conn: conn, timeout: req.Timeout, timeLeft: f.lifecycle.timeLeft}
 	req.message.rest = body
 	req.message.contentLength = contentLength
 	body.onComplete = func() { f.metrics.inProgress.Add(1) }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -12,17 +12,12 @@
 // owned by the loop.
 type request struct {
 	balancer.Request
-	message   message
-	arrivedAt time.Duration // when its last byte, or the last buffered byte of an upload, was received; on the loop's clock
-	reply     chan response // buffered, with capacity for the one response
-	deadline  time.Duration // on the loop's clock; noDeadline: an upload that has not been written completely
-	window    idempotencyWindow
-	// timeLeft returns how much of timeout remains for an upload whose last byte is written at writtenAt, on the loop's clock.
-	// It is nil for other requests.
-	timeLeft func(writtenAt, timeout time.Duration) time.Duration
-	// clientGone reports, without blocking, whether the client of an upload has closed its connection, which no read detects
-	// while the rest of the body is unread. It is nil for other requests. It may be called from any goroutine.
-	clientGone  func() bool
+	message     message
+	arrivedAt   time.Duration // when its last byte, or the last buffered byte of an upload, was received; on the loop's clock
+	reply       chan response // buffered, with capacity for the one response
+	deadline    time.Duration // on the loop's clock; noDeadline: an upload whose last byte has not arrived
+	window      idempotencyWindow
+	upload      *upload    // nil for other requests
 	attempts    []*attempt // in the order in which they were started
 	undelivered int        // number of attempts whose result has not been given to the decision module
 	closed      bool       // the request has been answered, or its client has disconnected
@@ -30,7 +25,7 @@
 
 // hasClientGone reports whether the client of an upload has disconnected. It is false for other requests, whose clients
 // net/http watches.
-func (r *request) hasClientGone() bool { return r.clientGone != nil && r.clientGone() }
+func (r *request) hasClientGone() bool { return r.upload != nil && r.upload.conn.ClosedByClient() }
 
 // pendingOutcome is an attempt's outcome that occurred during a call of the decision module. The module is not reentrant,
 // so the outcome is delivered as soon as that call has returned.
--- /dev/null
+++ b/internal/proxy/upload.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+)
+
+// upload is what is known of a request whose body is forwarded while it is received. Its methods may be called from any
+// goroutine, and do not block.
+type upload struct {
+	conn    uploadConn
+	timeout time.Duration // how long the client waits after the last byte
+	// timeLeft returns how much of timeout remains for a request whose last byte arrived at the given time, on the loop's
+	// clock.
+	timeLeft func(arrivedAt, timeout time.Duration) time.Duration
+
+	mu       sync.Mutex    // guards the fields below
+	received bool          // the last byte has arrived at the balancer's machine, read or not
+	deadline time.Duration // on the loop's clock; valid if received
+}
+
+// uploadConn is the client's connection of an upload. Nothing is read from it while the upload waits, so its state has to be
+// asked for. The methods do not block.
+type uploadConn interface {
+	// ClosedByClient reports whether the client has closed the connection, also behind unread bytes.
+	ClosedByClient() bool
+	// Arrival returns when the last byte arrived, on the loop's clock, also if it is unread. ok is false if it has not arrived.
+	Arrival() (at time.Duration, ok bool)
+}
+
+// checkReceived looks whether the last byte has arrived, unless that is known already.
+func (u *upload) checkReceived() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.checkReceivedLocked()
+}
+
+func (u *upload) checkReceivedLocked() {
+	if u.received {
+		return
+	}
+	if at, ok := u.conn.Arrival(); ok {
+		u.receiveAt(at)
+	}
+}
+
+// markReceived records that the last byte has arrived at the time now at the latest.
+func (u *upload) markReceived(now time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.checkReceivedLocked()
+	if !u.received {
+		u.receiveAt(now)
+	}
+}
+
+// receiveAt starts the timeout at the time at. The caller holds the lock.
+func (u *upload) receiveAt(at time.Duration) {
+	u.received = true
+	u.deadline = at + u.timeLeft(at, u.timeout)
+}
+
+// knownDeadline returns the deadline, or noDeadline if it is not known yet that the last byte has arrived.
+func (u *upload) knownDeadline() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.received {
+		return noDeadline
+	}
+	return u.deadline
+}
+
+// remaining returns how long after now the client waits. Until the last byte has arrived, that is the complete timeout.
+func (u *upload) remaining(now time.Duration) time.Duration {
+	if deadline := u.knownDeadline(); deadline != noDeadline {
+		return deadline - now
+	}
+	return u.timeLeft(now, u.timeout)
+}
--- a/internal/proxy/uploadclose_test.go
+++ b/internal/proxy/uploadclose_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -43,17 +42,10 @@
 }
 
 // send sends an upload on a new connection, and returns once its last byte has arrived at the balancer's machine.
-func (form uploadForm) send(t *testing.T, b *testBalancer, class string, headers ...string) net.Conn {
+func (form uploadForm) send(t *testing.T, b *testBalancer, headers ...string) net.Conn {
 	t.Helper()
 	c := b.dialConn(t)
-	form.sendOn(t, b, c, class, headers...)
-	return c
-}
-
-// sendOn is send on an open connection.
-func (form uploadForm) sendOn(t *testing.T, b *testBalancer, c net.Conn, class string, headers ...string) {
-	t.Helper()
-	r := b.newRequest(class, "", headers...)
+	r := b.newRequest("checkin", "", headers...)
 	r.Body, r.ContentLength = io.NopCloser(patternReader(int64(form.size))), int64(form.size)
 	if form.chunked {
 		r.ContentLength = -1
@@ -70,15 +62,17 @@
 		t.Fatal(err)
 	}
 	if form.expectContinue {
-		line, err := bufio.NewReaderSize(c, 64).ReadString('\n')
-		if err != nil || !strings.HasPrefix(line, "HTTP/1.1 100") {
-			t.Fatalf("got %q, %v, want 100 Continue", line, err)
+		const interim = "HTTP/1.1 100 Continue\r\n\r\n"
+		got := make([]byte, len(interim))
+		if _, err := io.ReadFull(c, got); err != nil || string(got) != interim {
+			t.Fatalf("got %q, %v, want %q", got, err, interim)
 		}
 	}
 	if _, err := c.Write(text.Bytes()); err != nil {
 		t.Fatal(err)
 	}
 	awaitAcknowledged(t, c)
+	return c
 }
 
 // useUpBudget uses up the body budget for the rest of the test if the form demands it, and returns a function that restores
@@ -202,7 +196,7 @@
 		upstream := newTestUpstream(t, respondOK)
 		b, await, release := x.wait.start(t, upstream)
 		restoreBudget := x.form.useUpBudget(b)
-		c := x.form.send(t, b, "checkin")
+		c := x.form.send(t, b)
 		await()
 		x.state.enter(b)
 		if x.resets {
@@ -227,7 +221,7 @@
 			upstream := newTestUpstream(t, respondOK)
 			b, await, release := waitsForConnection.start(t, upstream)
 			restoreBudget := form.useUpBudget(b)
-			c := form.send(t, b, "checkin")
+			c := form.send(t, b)
 			await()
 			c.Close()
 			release()
@@ -250,6 +244,7 @@
 	testUpstream
 	release  chan struct{} // closed by the test
 	requests chan error    // the result of reading each request after the release; nil if it was complete
+	silent   bool          // it never answers
 }
 
 // stalledBuffer is the size, in bytes, of the buffers of the connections to a stalledUpstream.
@@ -268,7 +263,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &stalledUpstream{testUpstream{addr: l.Addr().String()}, make(chan struct{}), make(chan error, 10)}
+	s := &stalledUpstream{testUpstream: testUpstream{addr: l.Addr().String()}, release: make(chan struct{}), requests: make(chan error, 10)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -290,7 +285,9 @@
 		_, err = io.Copy(io.Discard, r.Body)
 	}
 	s.requests <- err
-	if err == nil {
+	if err == nil && s.silent {
+		_, _ = c.Read(make([]byte, 1)) // until the balancer closes the connection
+	} else if err == nil {
 		writeOK(c, "done")
 	}
 }
@@ -333,7 +330,7 @@
 					c.openConn = openWithSmallBuffer
 				}, activeMember("s-00000001", &upstream.testUpstream))
 				restoreBudget := form.useUpBudget(b)
-				c := form.send(t, b, "checkin")
+				c := form.send(t, b)
 				b.awaitBlockedWrite(t)
 				c.Close()
 				time.Sleep(disconnectGrace)
