--- a/internal/proxy/uploaddeadline_test.go
+++ b/internal/proxy/uploaddeadline_test.go
@@ -125,7 +125,7 @@
 // An upstream is told the time that is left since the last byte of an upload arrived, also where it arrived unread, in the
 // queue or before a first or second connection. Guards against telling it the client's whole timeout.
 func TestForwardedDeadlineOfAnUnreadUpload(t *testing.T) {
-	const timeout, waiting = 2 * time.Second, 400 * time.Millisecond
+	const timeout, waiting = 2 * time.Second, 250 * time.Millisecond // a queued request is sent within 0.7 s or not at all
 	for _, wait := range []uploadWait{waitsForEndpoint, waitsForConnection, waitsForRetry} {
 		forms := uploadForms
 		if wait == waitsForRetry {
