Reach a socket's descriptor in one way, keep an upload's state in one field

- Peek, PeerClosed and PeekAt each had the steps to a descriptor and the loop over interrupted calls.
All use control and retryInterrupted now.
- upload.received could be derived: the deadline is noDeadline until the last byte has arrived.
- scanWindow had a check whose two results were the same.

--- a/internal/framing/arrival.go
+++ b/internal/framing/arrival.go
@@ -112,10 +112,7 @@
 	if err != nil {
 		return 0
 	}
-	valid, err := e.scanner.scan(buf.window[:n])
-	if err != nil && valid == 0 {
-		return 0
-	}
+	valid, _ := e.scanner.scan(buf.window[:n]) // reading the bytes will show a framing error
 	return valid
 }
 
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -112,11 +112,7 @@
 func (r *request) uploadOf(rest io.Reader, length int64) {
 	r.Upload, r.deadline = true, noDeadline
 	r.message.rest, r.message.contentLength = rest, length
-	r.upload = &upload{
-		conn:     openUploadConn{},
-		timeout:  r.Timeout,
-		timeLeft: func(_, timeout time.Duration) time.Duration { return timeout },
-	}
+	r.upload = newUpload(openUploadConn{}, r.Timeout, func(_, timeout time.Duration) time.Duration { return timeout })
 	clientDeadlines.put(r.message.header.Get("X-Request-Id"), &clientRequest{budget: r.Timeout})
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -28,7 +28,7 @@
 	body        *requestBody
 	end         requestEnd
 	status      int // of the response; 0 if none was written
-	// receivedReported is set once the loop has been told that the last byte of an upload has arrived.
+	// receivedReported is set once the loop has been notified that the last byte of an upload has arrived.
 	receivedReported bool
 }
 
--- a/internal/proxy/requestparse.go
+++ b/internal/proxy/requestparse.go
@@ -112,7 +112,7 @@
 // setUpload turns a request whose attributes are set into an upload, whose body is forwarded while it is received.
 func (f *frontend) setUpload(req *request, body *requestBody, contentLength int64, conn *framing.Conn) {
 	req.Upload = true
-	req.upload = &upload{conn: conn, timeout: req.Timeout, timeLeft: f.lifecycle.timeLeft}
+	req.upload = newUpload(conn, req.Timeout, f.lifecycle.timeLeft)
 	req.message.rest = body
 	req.message.contentLength = contentLength
 	body.onComplete = func() { f.metrics.inProgress.Add(1) }
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -14,9 +14,13 @@
 	// clock.
 	timeLeft func(arrivedAt, timeout time.Duration) time.Duration
 
-	mu       sync.Mutex    // guards the fields below
-	received bool          // the last byte has arrived at the balancer's machine, read or not
-	deadline time.Duration // on the loop's clock; valid if received
+	mu       sync.Mutex    // guards deadline
+	deadline time.Duration // on the loop's clock; noDeadline until the last byte has arrived, read or not
+}
+
+// newUpload returns an upload whose last byte is not known to have arrived.
+func newUpload(conn uploadConn, timeout time.Duration, timeLeft func(arrivedAt, timeout time.Duration) time.Duration) *upload {
+	return &upload{conn: conn, timeout: timeout, timeLeft: timeLeft, deadline: noDeadline}
 }
 
 // uploadConn is the client's connection of an upload. Nothing is read from it while the upload waits, so its state has to be
@@ -36,7 +40,7 @@
 }
 
 func (u *upload) checkReceivedLocked() {
-	if u.received {
+	if u.deadline != noDeadline {
 		return
 	}
 	if at, ok := u.conn.Arrival(); ok {
@@ -49,24 +53,18 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.checkReceivedLocked()
-	if !u.received {
+	if u.deadline == noDeadline {
 		u.receiveAt(now)
 	}
 }
 
 // receiveAt starts the timeout at the time at. The caller holds the lock.
-func (u *upload) receiveAt(at time.Duration) {
-	u.received = true
-	u.deadline = at + u.timeLeft(at, u.timeout)
-}
+func (u *upload) receiveAt(at time.Duration) { u.deadline = at + u.timeLeft(at, u.timeout) }
 
 // knownDeadline returns the deadline, or noDeadline if it is not known yet that the last byte has arrived.
 func (u *upload) knownDeadline() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.received {
-		return noDeadline
-	}
 	return u.deadline
 }
 
--- a/internal/socket/closed.go
+++ b/internal/socket/closed.go
@@ -1,7 +1,6 @@
 package socket
 
 import (
-	"errors"
 	"fmt"
 	"syscall"
 
@@ -21,29 +20,20 @@
 	if err != nil || state != Readable {
 		return state == Closed, err
 	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true, err
-	}
-	var revents int16
+	var fds [1]unix.PollFd
 	var pollErr error
-	err = raw.Control(func(fd uintptr) { revents, pollErr = poll(fd, unix.POLLRDHUP) })
+	err = control(c, func(fd int) {
+		fds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+		pollErr = retryInterrupted(func() error {
+			_, err := unix.Poll(fds[:], 0)
+			return err
+		})
+	})
 	switch {
 	case err != nil:
 		return true, err
 	case pollErr != nil:
 		return false, fmt.Errorf("%w: %w", ErrPeekFailed, pollErr)
 	}
-	return revents&peerClosedEvents != 0, nil
-}
-
-// poll returns the events that are pending on a descriptor, out of the given ones and those that are always reported.
-func poll(fd uintptr, events int16) (revents int16, err error) {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
-	for {
-		_, err = unix.Poll(fds, 0)
-		if !errors.Is(err, unix.EINTR) {
-			return fds[0].Revents, err
-		}
-	}
+	return fds[0].Revents&peerClosedEvents != 0, nil
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -29,20 +29,14 @@
 // ErrPeekFailed if the system call fails for a reason that does not concern the peer. Peek is safe for concurrent use, also
 // with reads from the connection.
 func Peek(c syscall.Conn) (State, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return Closed, err
-	}
 	var n int
 	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		for {
-			n, _, peekErr = syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if !errors.Is(peekErr, syscall.EINTR) {
-				return
-			}
-		}
+	err := control(c, func(fd int) {
+		peekErr = retryInterrupted(func() (err error) {
+			var next [1]byte
+			n, _, err = syscall.Recvfrom(fd, next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return err
+		})
 	})
 	switch {
 	case err != nil:
@@ -58,6 +52,25 @@
 	}
 }
 
+// control calls f with the descriptor of a connection. It returns an error if the connection has been closed on this side.
+func control(c syscall.Conn, f func(fd int)) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
+
+// retryInterrupted repeats a system call while a signal interrupts it, and returns its error.
+func retryInterrupted(call func() error) error {
+	for {
+		err := call()
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
+
 // isDisconnect reports whether a socket error means that the connection has ended.
 func isDisconnect(err error) bool {
 	var number syscall.Errno
--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -43,12 +43,10 @@
 		return 0, ErrPeekOffset
 	}
 	controlErr := control(c, func(fd int) {
-		for {
+		err = retryInterrupted(func() (err error) {
 			n, _, _, _, err = unix.RecvmsgBuffers(fd, buffers, nil, unix.MSG_PEEK|unix.MSG_DONTWAIT)
-			if !errors.Is(err, unix.EINTR) {
-				return
-			}
-		}
+			return err
+		})
 	})
 	if err = errors.Join(controlErr, err); err != nil {
 		return 0, fmt.Errorf("peeking at a socket: %w", err)
@@ -69,12 +67,3 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
 }
-
-// control calls f with the descriptor of a connection.
-func control(c syscall.Conn, f func(fd int)) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Control(func(fd uintptr) { f(int(fd)) })
-}
