--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -223,11 +223,7 @@
 		for _, class := range []string{"read", "pay", "checkin"} {
 			t.Run(class+" "+name, func(t *testing.T) {
 				upstream := newTestUpstream(t, respondOK)
-				listener := &pausedListener{resume: make(chan struct{}), ending: make(chan struct{})}
-				b := newBalancerOn(t, newTestDiscovery(t), func(inner net.Listener) net.Listener {
-					listener.recordingListener = inner.(recordingListener)
-					return listener
-				}, func(*Config) {}, activeMember("s-00000001", upstream))
+				b, listener := newPausedBalancer(t, upstream)
 				for range clients {
 					c := b.sendRaw(t, class, "").(*net.TCPConn)
 					leave(c)
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -204,6 +204,17 @@
 	endOnce sync.Once
 }
 
+// newPausedBalancer starts a balancer that accepts no connection until the test closes resume of the listener.
+func newPausedBalancer(t *testing.T, upstream *testUpstream) (*testBalancer, *pausedListener) {
+	t.Helper()
+	l := &pausedListener{resume: make(chan struct{}), ending: make(chan struct{})}
+	b := newBalancerOn(t, newTestDiscovery(t), func(inner net.Listener) net.Listener {
+		l.recordingListener = inner.(recordingListener)
+		return l
+	}, func(*Config) {}, activeMember("s-00000001", upstream))
+	return b, l
+}
+
 func (l *pausedListener) Accept() (net.Conn, error) {
 	<-l.resume
 	return l.recordingListener.Accept()
@@ -223,9 +234,7 @@
 // answers their requests. Guards against connections that are reset when the listener closes.
 func TestShutdownAcceptsQueuedConnections(t *testing.T) {
 	s := newTestUpstream(t, respondOK)
-	l := &pausedListener{resume: make(chan struct{}), ending: make(chan struct{})}
-	b := newBalancerOn(t, newTestDiscovery(t), func(x net.Listener) net.Listener { l.recordingListener = x.(recordingListener); return l },
-		func(*Config) {}, activeMember("s-00000001", s))
+	b, l := newPausedBalancer(t, s)
 	var waiting []net.Conn
 	for range 5 {
 		waiting = append(waiting, b.sendRaw(t, "checkin", ""))
--- a/internal/proxy/uploadclose_test.go
+++ b/internal/proxy/uploadclose_test.go
@@ -41,10 +41,8 @@
 	{name: "no budget, read ahead by net/http", size: 6 << 10, noBudget: true},
 }
 
-// send sends an upload on a new connection, and returns once its last byte has arrived at the balancer's machine.
-func (form uploadForm) send(t *testing.T, b *testBalancer, headers ...string) net.Conn {
-	t.Helper()
-	c := b.dialConn(t)
+// newRequest returns an upload. Headers are pairs of a name and a value.
+func (form uploadForm) newRequest(b *testBalancer, headers ...string) *http.Request {
 	r := b.newRequest("checkin", "", headers...)
 	r.Body, r.ContentLength = io.NopCloser(patternReader(int64(form.size))), int64(form.size)
 	if form.chunked {
@@ -53,8 +51,15 @@
 	if form.expectContinue {
 		r.Header.Set("Expect", "100-continue")
 	}
+	return r
+}
+
+// send sends an upload on a new connection, and returns once its last byte has arrived at the balancer's machine.
+func (form uploadForm) send(t *testing.T, b *testBalancer, headers ...string) net.Conn {
+	t.Helper()
+	c := b.dialConn(t)
 	var text bytes.Buffer
-	if err := r.Write(&text); err != nil {
+	if err := form.newRequest(b, headers...).Write(&text); err != nil {
 		t.Fatal(err)
 	}
 	headLength := bytes.Index(text.Bytes(), []byte("\r\n\r\n")) + 4
@@ -353,12 +358,7 @@
 			upstream := newTestUpstream(t, respondOK)
 			b, await, release := waitsForConnection.start(t, upstream)
 			c := b.dialConn(t)
-			r := b.newRequest("checkin", "")
-			r.Body, r.ContentLength = io.NopCloser(patternReader(int64(form.size))), int64(form.size)
-			if form.chunked {
-				r.ContentLength = -1
-			}
-			if err := r.Write(c); err != nil {
+			if err := form.newRequest(b).Write(c); err != nil {
 				t.Fatal(err)
 			}
 			await()
--- a/internal/proxy/uploaddeadline_test.go
+++ b/internal/proxy/uploaddeadline_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -16,8 +17,7 @@
 const (
 	// answerTolerance is how long after its time a request may be answered, by the operators' rules.
 	answerTolerance = 500*time.Millisecond + 50*time.Millisecond
-	// forwardedTolerance is by how much the time that an upstream is told may exceed the time that is left, by the operators'
-	// rules.
+	// forwardedTolerance is by how much a forwarded deadline may exceed the time that is left, by the operators' rules.
 	forwardedTolerance = 150 * time.Millisecond
 )
 
@@ -59,12 +59,9 @@
 	if elapsed > timeout+answerTolerance {
 		t.Errorf("%s: answered %d after %v, its client waits %v", u.form.name, resp.StatusCode, elapsed, timeout)
 	}
-	for _, status := range statuses {
-		if resp.StatusCode == status {
-			return
-		}
+	if !slices.Contains(statuses, resp.StatusCode) {
+		t.Errorf("%s: status %d, want one of %v", u.form.name, resp.StatusCode, statuses)
 	}
-	t.Errorf("%s: status %d, want one of %v", u.form.name, resp.StatusCode, statuses)
 }
 
 // fleetOf returns as many list entries for one upstream as there are forms of an upload, so that none of them queues.
@@ -122,8 +119,8 @@
 	}
 }
 
-// An upstream is told the time that is left since the last byte of an upload arrived, also where it arrived unread, in the
-// queue or before a first or second connection. Guards against telling it the client's whole timeout.
+// The forwarded deadline is the time that is left since the last byte of an upload arrived, also where it arrived unread, in
+// the queue or before a first or second connection. Guards against forwarding the client's complete timeout.
 func TestForwardedDeadlineOfAnUnreadUpload(t *testing.T) {
 	const timeout, waiting = 2 * time.Second, 250 * time.Millisecond // a queued request is sent within 0.7 s or not at all
 	for _, wait := range []uploadWait{waitsForEndpoint, waitsForConnection, waitsForRetry} {
@@ -183,7 +180,7 @@
 }
 
 // The time of a request runs while its connection waits to be accepted, or its last byte waits to be read because the process was
-// held up, whether or not it has a body, buffered or not. Guards against telling the upstream the client's whole timeout.
+// held up, whether or not it has a body, buffered or not. Guards against forwarding the client's complete timeout.
 func TestTimeRunsBeforeARequestIsRead(t *testing.T) {
 	const timeout, waiting = 2 * time.Second, 400 * time.Millisecond
 	for _, form := range []uploadForm{
@@ -195,11 +192,7 @@
 	} {
 		t.Run(form.name, func(t *testing.T) {
 			upstream := newTestUpstream(t, respondOK)
-			listener := &pausedListener{resume: make(chan struct{}), ending: make(chan struct{})}
-			b := newBalancerOn(t, newTestDiscovery(t), func(inner net.Listener) net.Listener {
-				listener.recordingListener = inner.(recordingListener)
-				return listener
-			}, func(*Config) {}, activeMember("s-00000001", upstream))
+			b, listener := newPausedBalancer(t, upstream)
 			restoreBudget := form.useUpBudget(b)
 			c := form.send(t, b, "X-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 			arrivedAt := time.Now()
@@ -212,15 +205,16 @@
 	}
 }
 
-// assertForwardedDeadline fails the test unless the upstream has received one request and was told at most the time that is left.
+// assertForwardedDeadline fails the test unless the upstream has received one request, with a deadline of at most the time that
+// is left.
 func assertForwardedDeadline(t *testing.T, upstream *testUpstream, left time.Duration) {
 	t.Helper()
 	if len(upstream.arrivals) != 1 {
 		t.Fatalf("%d requests at the upstream, want 1", len(upstream.arrivals))
 	}
 	got := <-upstream.arrivals
-	told, err := strconv.Atoi(got.Header.Get("X-Deadline-Ms"))
-	if err != nil || time.Duration(told)*time.Millisecond > left+forwardedTolerance {
-		t.Errorf("told %d ms, %v, but its client waits only %v more", told, err, left)
+	milliseconds, err := strconv.Atoi(got.Header.Get("X-Deadline-Ms"))
+	if err != nil || time.Duration(milliseconds)*time.Millisecond > left+forwardedTolerance {
+		t.Errorf("forwarded deadline is %d ms, %v, but its client waits only %v more", milliseconds, err, left)
 	}
 }
