--- a/review/stage/peers_test.go
+++ b/review/stage/peers_test.go
@@ -18,8 +18,10 @@
 	entry  member
 	handle func(c *upstreamConn, r *http.Request, body []byte) (keep bool)
 
-	mu   sync.Mutex
-	runs map[string]int // requests by X-Request-Id
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns []*upstreamConn // those that were ever open
 }
 
 // upstreamConn is a connection from the balancer.
@@ -31,7 +33,7 @@
 // startUpstream starts an upstream. Its ID and zone follow from its number.
 func (s *stage) startUpstream(number int, handle func(c *upstreamConn, r *http.Request, body []byte) (keep bool)) *upstream {
 	l := s.listen()
-	u := &upstream{stage: s, handle: handle, runs: map[string]int{}}
+	u := &upstream{stage: s, handle: handle, listener: l}
 	u.entry = member{ID: fmt.Sprintf("s-%08x", 0x5be2a000+number), HostPort: l.Addr().String(), Locality: fmt.Sprintf("z%d", 1+number%2),
 		Flavor: "k", Cell: 1 + number%2, Phase: "up", Size: 1}
 	go func() {
@@ -40,7 +42,11 @@
 			if err != nil {
 				return
 			}
-			go u.serve(&upstreamConn{Conn: c, reader: bufio.NewReader(c)})
+			conn := &upstreamConn{Conn: c, reader: bufio.NewReader(c)}
+			u.mu.Lock()
+			u.conns = append(u.conns, conn)
+			u.mu.Unlock()
+			go u.serve(conn)
 		}
 	}()
 	return u
@@ -57,15 +63,22 @@
 		if err != nil {
 			return
 		}
-		u.mu.Lock()
-		u.runs[r.Header.Get("X-Request-Id")]++
-		u.mu.Unlock()
 		if !u.handle(c, r, body) {
 			return
 		}
 	}
 }
 
+// end ends the upstream as if its process had died: its connections are closed, and new ones are refused.
+func (u *upstream) end() {
+	u.listener.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		c.Close()
+	}
+}
+
 // answer writes a 200 with a length.
 func (c *upstreamConn) answer(body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
@@ -86,7 +99,8 @@
 // client is a client's connection.
 type client struct {
 	net.Conn
-	reader *bufio.Reader
+	reader     *bufio.Reader
+	lastClosed bool // the last answer announced that the connection is closed
 }
 
 // dial connects a client.
@@ -119,6 +133,7 @@
 	if err != nil {
 		return 0, "", err
 	}
+	c.lastClosed = resp.Close
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(text), err
 }
