Review case 10: the upstream ends, and purchases with it

The scene now sends purchases and ends the upstream 10 s after it began to drain, so that the record shows what the late requests cost. The check is unchanged.

--- a/review/stage/slowdiscovery_test.go
+++ b/review/stage/slowdiscovery_test.go
@@ -21,13 +21,15 @@
 		grace = 550 * time.Millisecond // with the 50 ms of the rules on sockets
 		slack = 150 * time.Millisecond // a balancer may be held up for so long
 		start = 4 * time.Second        // of the drain
-		span  = 14 * time.Second       // after that
+		ends  = 10 * time.Second       // after that the upstream, which has finished what it held long ago, ends
+		span  = 12 * time.Second       // after that the scene ends
+		work  = 200 * time.Millisecond // of an upstream for a request
 	)
 	var mu sync.Mutex
 	var drainedAt time.Time
-	late, before := 0, 0
+	late, before, running := 0, 0, 0
 	var last time.Duration
-	leaving := s.startUpstream(1, func(c *upstreamConn, r *http.Request, _ []byte) bool {
+	leaving := s.startUpstream(0, func(c *upstreamConn, r *http.Request, _ []byte) bool {
 		mu.Lock()
 		after := time.Since(drainedAt)
 		switch {
@@ -40,11 +42,15 @@
 				s.log("upstream: %s arrives %.3f s after the upstream began to drain", r.Header.Get("X-Request-Id"), after.Seconds())
 			}
 		}
+		running++
+		mu.Unlock()
+		time.Sleep(work)
+		mu.Lock()
+		running--
 		mu.Unlock()
-		time.Sleep(10 * time.Millisecond)
 		return c.answer(bodyOf(r.Header.Get("X-Request-Id")))
 	})
-	d := s.startDiscovery(s.startUpstream(0, plain(10*time.Millisecond)), leaving, s.startUpstream(2, plain(10*time.Millisecond)))
+	d := s.startDiscovery(s.startUpstream(1, plain(work)), leaving, s.startUpstream(2, plain(work)))
 	p := s.startBalancer(d, startOptions{})
 	if trouble {
 		d.setTakes(takes)
@@ -56,14 +62,24 @@
 		mu.Unlock()
 		d.setPhase(leaving.entry.ID, "draining")
 	})
-	s.goroutines(3, func(int) {
+	time.AfterFunc(start+ends, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		s.log("upstream: it ends, and with it %d requests that run", running)
+		leaving.end()
+	})
+	s.goroutines(12, func(int) {
 		c := p.dial()
 		defer c.Close()
 		for time.Since(began) < start+span {
-			_, _ = io.WriteString(c, requestText("plan-trip", s.newID(), 2000, ""))
+			id := s.newID()
+			_, _ = io.WriteString(c, requestText("buy-ticket", id, 2000, ""))
 			c.SetReadDeadline(time.Now().Add(3 * time.Second))
-			_, _, err := c.readAnswer()
+			status, _, err := c.readAnswer()
 			must(err)
+			if status != http.StatusOK {
+				s.log("client: buy-ticket %s: %d", id, status)
+			}
 			time.Sleep(30 * time.Millisecond)
 		}
 	})
