Forward the end of a response whose upstream has rested for over 10 s

Callers saw a response break off just before its end: the last bytes, or the last chunk, never came.

Cause: the client's write deadline was set before each part of a streamed response but the last one. That part is read after the deadline was set, and an upstream may rest for as long as its client waits (timelimit.UpstreamRest, up to 2 min). After a rest of over 10 s the last write met a deadline that had passed, and the client was taken for gone.

Evidence: TestEndOfAResponseFollowsALongRest (a rest of 11 s, a client that waits 20 s) failed before with a length and with chunks, 'unexpected EOF' after 11.0 s in 2 of 2. The deadline is now set anew at the end of the body; it passes, 2 of 2.

--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -90,6 +90,7 @@
 		part, err = buffer.fill(func(p []byte) (int, error) { return upstream.read(p, rest) })
 		switch {
 		case errors.Is(err, io.EOF):
+			extendWriteDeadline(control) // also for what net/http writes at the end of the response
 			if x.frontend.lifecycle.isEnding() {
 				connOfRequest(x.httpRequest).EndAfterResponse()
 			}
