Don't give up a client that reads its response slowly

Cause: each part of a response had to be written within 10 s, and a write waits until the socket is writable. Linux reports that only once a third of the send buffer (4 MB) is free, which takes a reader of 64 KiB a second 20 s. The deadline measured the socket, not the client.

Change: socket.StallWriter writes in steps of 0.5 s. The client is given up once its system has accepted and acknowledged nothing for 10 s, and for the time that a slow reader may be unseen: a system reports that its buffer has been emptied in parts. Where TCP_INFO fails, what the socket accepts is the only sign. All writes to clients are bounded so, therefore http.Server.WriteTimeout and the deadlines of single parts are gone.

Evidence: TestSlowReaderGetsItsWholeResponse failed before in 4 of 4 forms ('unexpected EOF' within 16 s of slow reading), and passes. A client that takes nothing is given up: TestStallWriterGivesUpAPeerThatTakesNothing.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -19,6 +19,7 @@
 	net.Conn
 	now         func() time.Duration // the caller's clock
 	headTimeout time.Duration        // see NewConn
+	writeStall  time.Duration        // see Listener.LimitWrites
 	// headStartedAt is the result of HeadStartedAt. Only the reader's goroutine uses it.
 	headStartedAt time.Duration
 
@@ -277,6 +278,15 @@
 	return complete > 0 && complete == c.answeredCount && complete == c.scanner.headCount && !c.scanner.atRequestStart()
 }
 
+// Write writes to the client. Where the listener limits writes, it fails once the client has taken nothing for the limit, and replaces
+// the write deadline.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.writeStall == 0 {
+		return c.Conn.Write(p)
+	}
+	return socket.StallWriter{Conn: c.Conn, Stall: c.writeStall}.Write(p)
+}
+
 // ClosedByClient reports, without blocking, whether the client has closed or reset the connection, also if bytes that it
 // sent before have not been read. net/http detects that only with the read after the last byte of a request: concurrently
 // with forwarding the request or, while the request's body is unread, not at all.
--- a/internal/framing/listener.go
+++ b/internal/framing/listener.go
@@ -37,6 +37,7 @@
 	now         func() time.Duration // the caller's clock
 	headTimeout time.Duration        // see NewConn
 	headLimits  HeadLimits           // see LimitHeads
+	writeStall  time.Duration        // see LimitWrites
 	draining    atomic.Bool          // CloseWhenDrained has been called
 	queue       acceptQueue
 	burst       int       // connections accepted since the last pause
@@ -54,6 +55,10 @@
 // Accept.
 func (l *Listener) LimitHeads(limits HeadLimits) { l.headLimits = limits }
 
+// LimitWrites sets how long the client may take nothing of what is written to it, on connections that are accepted from now on: see
+// socket.StallWriter. It must not be called concurrently with Accept.
+func (l *Listener) LimitWrites(stall time.Duration) { l.writeStall = stall }
+
 // deadlineListener is a listener whose blocked Accept can be ended without closing it.
 type deadlineListener interface{ SetDeadline(t time.Time) error }
 
@@ -92,6 +97,7 @@
 			}
 			l.paceAccept(departedPerAccepted)
 			conn.head.limits = l.headLimits
+			conn.writeStall = l.writeStall
 			return conn, nil
 		case isFatalAcceptError(err):
 			return nil, err
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -172,7 +172,6 @@
 		// Returning would make net/http answer 200, which a client that has closed only its sending side would receive.
 		panic(http.ErrAbortHandler)
 	}
-	extendWriteDeadline(x.body.control)
 	x.frontend.closeAfterResponse(x.writer, closedByRequest)
 	http.Error(x.writer, "the body did not come whole", http.StatusRequestTimeout)
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -80,6 +80,7 @@
 		Uncharged: unchargedHead,
 		Budget:    headBudget{f.bodyBudget},
 	})
+	f.acceptor.listener.LimitWrites(timelimit.WriteStall)
 	f.conns = clientConns{
 		metrics:   eventLoop.metrics.conns,
 		lifecycle: &f.lifecycle,
@@ -93,7 +94,6 @@
 	f.server = http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: timelimit.ClientReadTimeout,
-		WriteTimeout:      timelimit.ClientReadTimeout + f.lifecycle.longestDeadline + timelimit.ClientWriteTimeout,
 		IdleTimeout:       timelimit.ClientIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       contextWithSession,
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"sprucehill/internal/timelimit"
 )
@@ -36,7 +35,6 @@
 		header.Set("Retry-After", strconv.FormatFloat(resp.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	control := http.NewResponseController(x.writer)
-	extendWriteDeadline(control)
 	if resp.stream != nil {
 		return x.writeStream(control, resp)
 	}
@@ -79,7 +77,6 @@
 	part := buffered
 	rest := timelimit.UpstreamRest(x.request.clientWait)
 	for {
-		extendWriteDeadline(control)
 		if _, err := x.writer.Write(part); err != nil {
 			return clientGone
 		}
@@ -90,7 +87,6 @@
 		part, err = buffer.fill(func(p []byte) (int, error) { return upstream.read(p, rest) })
 		switch {
 		case errors.Is(err, io.EOF):
-			extendWriteDeadline(control) // also for what net/http writes at the end of the response
 			if x.frontend.lifecycle.isEnding() {
 				connOfRequest(x.httpRequest).EndAfterResponse()
 			}
@@ -105,9 +101,3 @@
 		}
 	}
 }
-
-// extendWriteDeadline sets the write deadline to timelimit.ClientWriteTimeout from now. That fails only on a closed connection,
-// where the next write fails too.
-func extendWriteDeadline(control *http.ResponseController) {
-	_ = control.SetWriteDeadline(time.Now().Add(timelimit.ClientWriteTimeout))
-}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,5 +1,5 @@
-// Package socket determines the state of a connection from its socket, without blocking and without consuming data, and sets the length
-// of the queue of a listening socket.
+// Package socket determines the state of a connection from its socket, without blocking and without consuming data, writes to peers
+// that may read slowly, and sets the length of the queue of a listening socket.
 package socket
 
 import (
--- a/internal/timelimit/limits.go
+++ b/internal/timelimit/limits.go
@@ -34,8 +34,9 @@
 	//
 	// Platform: nothing is forwarded later than 0.1 s after a client has disconnected.
 	UploadCheckInterval = 20 * time.Millisecond
-	// ClientWriteTimeout bounds how long a client may take to read its response, or each part of a streamed response.
-	ClientWriteTimeout = 10 * time.Second
+	// WriteStall is how long a client may take nothing of its response. A client that reads, however slowly, is not given up: see
+	// socket.StallWriter.
+	WriteStall = 10 * time.Second
 	// ClientIdleTimeout bounds how long a connection may be idle between two requests.
 	ClientIdleTimeout = 2 * time.Minute
 	// EvictionMinIdle is how long a connection must have been idle before it may be closed for a new one, when the limit on
@@ -98,9 +99,8 @@
 	ShutdownAccept = 450 * time.Millisecond
 	// ShutdownFirstByte is how long a connection that has sent nothing stays open once no more connections are accepted.
 	ShutdownFirstByte = 50 * time.Millisecond
-	// ShutdownLimit is how long client connections may stay open beyond the longest deadline of all classes. So a response
-	// that begins at its deadline has as much time to be read as any other.
-	ShutdownLimit = ClientWriteTimeout
+	// ShutdownLimit is how long client connections may stay open beyond the longest deadline of all classes.
+	ShutdownLimit = 10 * time.Second
 	// KillDelay is the time from SIGTERM to SIGKILL beyond the longest deadline of all classes.
 	//
 	// Platform: a request that arrives later than this after SIGTERM has to be answered before SIGKILL.
