Don't give up an upstream that reads an upload slowly

Callers got 503 for a long upload whose upstream reads steadily at 64 KiB a second: after 5 s (or their own time, if that is longer) the upstream was taken for one that reads nothing.

Cause: the same as for slow readers of a response, on the other side: each part had to be written within 5 s, and a socket is reported as writable only once a third of its 4 MB are free, which takes such an upstream 20 s.

Change: writeUpload writes through socket.StallWriter. The upstream is given up once it has taken nothing for 10 s or its client's time, the longer one (timelimit.UpstreamWriteStall); 5 s are less than the gaps that were seen of peers that read 64 KiB a second. An abandoned attempt still ends at once: StallWriter asks before each part.

--- a/internal/proxy/attemptwriter.go
+++ b/internal/proxy/attemptwriter.go
@@ -4,10 +4,10 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
+	"sprucehill/internal/socket"
 	"sprucehill/internal/timelimit"
 )
 
@@ -38,8 +38,8 @@
 	return writeProgress{complete: n == size}, err
 }
 
-// writeUpload writes an attempt's head and the buffered part of its body, then streams the rest from the client. Each write
-// to the upstream must finish within timelimit.UpstreamRest.
+// writeUpload writes an attempt's head and the buffered part of its body, then streams the rest from the client. It fails once the
+// upstream has taken nothing for timelimit.UpstreamWriteStall.
 func writeUpload(a *attempt, c *upstreamConn, budget *byteBudget) (progress writeProgress, err error) {
 	m := &a.message
 	part := net.Buffers{a.head, m.body}
@@ -48,15 +48,14 @@
 	}
 	buffer := newCopyBuffer(budget)
 	defer buffer.release()
-	rest := timelimit.UpstreamRest(a.request.clientWait)
+	defer c.SetWriteDeadline(time.Time{})
+	writer := socket.StallWriter{
+		Conn:        c.Conn,
+		Stall:       timelimit.UpstreamWriteStall(a.request.clientWait),
+		IsAbandoned: a.abandoned.Load,
+	}
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(rest)); err != nil {
-			return progress, err
-		}
-		if a.abandoned.Load() { // checked after SetWriteDeadline, which may have replaced the expired deadline set by abandon
-			return progress, os.ErrDeadlineExceeded
-		}
-		if _, err := part.WriteTo(c); err != nil {
+		if _, err := part.WriteTo(writer); err != nil {
 			return progress, err
 		}
 		data, err := buffer.fill(m.rest.Read)
@@ -69,7 +68,11 @@
 			if !a.request.isClientWaiting() { // its close followed bytes that had not been read until now
 				return progress, errClientBody
 			}
-			progress.complete, err = writeLastPart(m, part, c, rest)
+			if m.isChunked() {
+				part = append(part, lastChunk)
+			}
+			_, err = part.WriteTo(writer)
+			progress.complete = err == nil
 			return progress, err
 		}
 		if err != nil {
@@ -78,19 +81,6 @@
 	}
 }
 
-// writeLastPart writes the last part of an upload, within the time rest, and reports whether its last byte has been written.
-func writeLastPart(m *message, part net.Buffers, c *upstreamConn, rest time.Duration) (complete bool, err error) {
-	if m.isChunked() {
-		part = append(part, lastChunk)
-	}
-	if err := c.SetWriteDeadline(time.Now().Add(rest)); err != nil {
-		return false, err
-	}
-	_, err = part.WriteTo(c)
-	c.SetWriteDeadline(time.Time{})
-	return err == nil, err
-}
-
 // chunk returns p as one chunk of the chunked transfer encoding.
 func chunk(p []byte) net.Buffers {
 	size := strconv.AppendInt(nil, int64(len(p)), 16)
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +118,98 @@
 		})
 	}
 }
+
+// An upstream that reads an upload at the rate that the platform guarantees gets all of it. Guards against giving up an upstream
+// that reads because its socket does not become writable for a time.
+func TestSlowlyReadUploadIsForwarded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if readSlowly(r.Body) != nil {
+					return
+				}
+				n, _ := io.Copy(io.Discard, r.Body)
+				writeOK(c, fmt.Sprint(n > longBody/2))
+			}()
+		}
+	}()
+	b := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: l.Addr().String()}))
+	for form, framing := range map[string]string{
+		"length":    fmt.Sprintf("Content-Length: %d\r\n\r\n", longBody),
+		"one chunk": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", longBody),
+	} {
+		t.Run(form, func(t *testing.T) {
+			c, in := b.dial(t)
+			t.Parallel()
+			go func() {
+				io.WriteString(c, strings.Replace(checkinHead, "aa\r\n", fmt.Sprintf("%02x\r\n", 0xa0+len(form)), 1)+framing)
+				io.Copy(c, patternReader(longBody))
+				if form != "length" {
+					io.WriteString(c, "\r\n0\r\n\r\n")
+				}
+			}()
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			assertEqual(t, "status", resp.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// A client that reads nothing of its response, and an upstream that reads nothing of an upload, are given up. Guards against a limit
+// that never comes, since the systems of both ends accept much by themselves.
+func TestPeerThatTakesNothingIsGivenUp(t *testing.T) {
+	const longest = timelimit.WriteStall + 10*time.Second // with the time for which a slow peer may be unseen
+	assertGivenUp := func(t *testing.T, began time.Time) {
+		t.Helper()
+		if took := time.Since(began); took < timelimit.WriteStall || took > longest {
+			t.Errorf("given up after %v, want between %v and %v", took, timelimit.WriteStall, longest)
+		}
+	}
+	t.Run("client", func(t *testing.T) {
+		ended := make(chan time.Time, 1)
+		upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+			began := time.Now()
+			writeLongResponse(c, "length")
+			ended <- began
+			return false
+		})
+		b := newBalancer(t, activeMember("s-00000001", upstream))
+		b.sendRaw(t, "checkin", "")
+		t.Parallel()
+		assertGivenUp(t, <-ended)
+		b.awaitClientsClosed(t)
+	})
+	t.Run("upstream", func(t *testing.T) {
+		upstream := newStalledUpstream(t)
+		b := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: upstream.addr}))
+		c, in := b.dial(t)
+		t.Parallel()
+		began := time.Now()
+		go func() {
+			fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", checkinHead, longBody)
+			io.Copy(c, patternReader(longBody))
+		}()
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertEqual(t, "status", resp.StatusCode, http.StatusServiceUnavailable)
+		assertGivenUp(t, began)
+	})
+}
--- a/internal/timelimit/limits.go
+++ b/internal/timelimit/limits.go
@@ -34,8 +34,8 @@
 	//
 	// Platform: nothing is forwarded later than 0.1 s after a client has disconnected.
 	UploadCheckInterval = 20 * time.Millisecond
-	// WriteStall is how long a client may take nothing of its response. A client that reads, however slowly, is not given up: see
-	// socket.StallWriter.
+	// WriteStall is how long a client may take nothing of its response, and the least time for which an upstream may take nothing of an
+	// upload. A peer that reads, however slowly, is not given up: see socket.StallWriter.
 	WriteStall = 10 * time.Second
 	// ClientIdleTimeout bounds how long a connection may be idle between two requests.
 	ClientIdleTimeout = 2 * time.Minute
@@ -51,8 +51,7 @@
 
 // Limits of connections to upstreams.
 const (
-	// UpstreamStall is the least time for which an upstream may read nothing of an upload, or send nothing of a streamed response:
-	// see UpstreamRest.
+	// UpstreamStall is the least time for which an upstream may send nothing of a streamed response: see UpstreamRest.
 	UpstreamStall = 5 * time.Second
 	// MaxClientWait bounds the time that a client may ask an upstream to be waited for while it does nothing.
 	MaxClientWait = 2 * time.Minute
@@ -62,12 +61,17 @@
 	UpstreamIdleMargin = 5 * time.Second
 )
 
-// UpstreamRest returns how long an upstream may read nothing of an upload, or send nothing of a streamed response, for a client that
-// says that it waits for clientWait. As long as its client waits, a server that rests is not given up.
+// UpstreamRest returns how long an upstream may send nothing of a streamed response, for a client that says that it waits for
+// clientWait. As long as its client waits, a server that rests is not given up.
 func UpstreamRest(clientWait time.Duration) time.Duration {
 	return max(UpstreamStall, min(clientWait, MaxClientWait))
 }
 
+// UpstreamWriteStall returns how long an upstream may take nothing of an upload, for a client that says that it waits for clientWait.
+func UpstreamWriteStall(clientWait time.Duration) time.Duration {
+	return max(WriteStall, min(clientWait, MaxClientWait))
+}
+
 // UpstreamIdle returns how long a connection may be idle if upstreams close idle connections after keepAlive. It is at least
 // half of keepAlive.
 func UpstreamIdle(keepAlive time.Duration) time.Duration {
