--- a/internal/proxy/connmetrics.go
+++ b/internal/proxy/connmetrics.go
@@ -14,6 +14,7 @@
 	closedByShutdown closeCause = "shutdown"  // the process is shutting down
 	closedByLimit    closeCause = "limit"     // the number of connections is at or near its limit
 	closedByRequest  closeCause = "malformed" // the end of a request is ambiguous, or its body was not read to the end
+	closedByStall    closeCause = "stalled"   // the client took nothing of its response for timelimit.WriteStall
 )
 
 // connMetrics counts client connections. It is safe for concurrent use.
@@ -27,7 +28,7 @@
 	for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
 		m.open[state] = set.Gauge("svc_client_connections", metrics.Label{Name: "state", Value: state.String()})
 	}
-	for _, cause := range []closeCause{closedByDrain, closedByShutdown, closedByLimit, closedByRequest} {
+	for _, cause := range []closeCause{closedByDrain, closedByShutdown, closedByLimit, closedByRequest, closedByStall} {
 		m.closed[cause] = set.Counter("svc_client_closes", metrics.Label{Name: "cause", Value: string(cause)})
 	}
 	return m
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 
 	"sprucehill/internal/timelimit"
@@ -78,10 +79,10 @@
 	rest := timelimit.UpstreamRest(x.request.clientWait)
 	for {
 		if _, err := x.writer.Write(part); err != nil {
-			return clientGone
+			return x.clientGone(err)
 		}
 		if err := control.Flush(); err != nil {
-			return clientGone
+			return x.clientGone(err)
 		}
 		var err error
 		part, err = buffer.fill(func(p []byte) (int, error) { return upstream.read(p, rest) })
@@ -91,7 +92,7 @@
 				connOfRequest(x.httpRequest).EndAfterResponse()
 			}
 			if _, err := x.writer.Write(part); err != nil {
-				return clientGone
+				return x.clientGone(err)
 			}
 			return delivered
 		case err != nil && x.httpRequest.Context().Err() != nil:
@@ -101,3 +102,11 @@
 		}
 	}
 }
+
+// clientGone returns the outcome of a streamed response that can't be written because of err, and counts a client that was given up.
+func (x *exchange) clientGone(err error) writeOutcome {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.frontend.metrics.conns.countClose(closedByStall)
+	}
+	return clientGone
+}
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -194,6 +194,7 @@
 		t.Parallel()
 		assertGivenUp(t, <-ended)
 		b.awaitClientsClosed(t)
+		assertEqual(t, "closes", b.metric(t, `svc_client_closes{cause="stalled"}`), 1)
 	})
 	t.Run("upstream", func(t *testing.T) {
 		upstream := newStalledUpstream(t)
