Count the framing of a client's body as progress

Callers that send a body in small chunks at 64 KiB a second were answered 400 (408 once the body was forwarded) after some 4 s.

Cause: a client has to send at 32 KiB a second, and only the data in the chunks counted. Of chunks of one byte a sixth is data: 11 KiB of 64. Progress was read off the decoded body, not off the connection.

Change: what has been read from the connection counts, or the data, if that is more (a part of the body may have come with the head). net/http bounds framing without data (16 KiB), framing.Conn the trailer (4 KiB), so it can't keep a request open for long.

TestStalledUploadIsAborted still shows that a client that sends nothing is given up.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -81,6 +81,13 @@
 	return c.now()
 }
 
+// BytesRead returns how many bytes have been read from the client, framing included.
+func (c *Conn) BytesRead() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytesRead
+}
+
 // IsIdle reports whether the connection is between two requests: no byte of an unanswered request has been read.
 func (c *Conn) IsIdle() bool {
 	c.mu.Lock()
--- a/internal/proxy/requestbody.go
+++ b/internal/proxy/requestbody.go
@@ -7,19 +7,22 @@
 	"sync/atomic"
 	"time"
 
+	"sprucehill/internal/framing"
 	"sprucehill/internal/timelimit"
 )
 
-// minBodyRate is the rate, in bytes per second, at which a client has to send a body: half of the rate that the platform
-// guarantees for its clients.
+// minBodyRate is the rate, in bytes per second, at which a client has to send a body, framing included: half of the rate that the
+// platform guarantees for its clients.
 const minBodyRate = 32 << 10
 
 // requestBody reads a request body and enforces the minimum rate at which the client sends it. The time spent waiting for
-// data uses up the client's credit, and each byte received adds to it.
+// data uses up the client's credit, and each byte received adds to it. A byte of the framing counts like one of the data: a body in small
+// chunks has more of the former.
 //
 // Only one goroutine at a time may call Read. complete and failed may be used from any goroutine.
 type requestBody struct {
 	body       io.Reader
+	received   receivedBytes
 	control    *http.ResponseController
 	credit     time.Duration // how much longer a read may wait for data
 	complete   atomic.Bool   // the last byte has been read
@@ -31,6 +34,7 @@
 func newRequestBody(w http.ResponseWriter, r *http.Request) *requestBody {
 	return &requestBody{
 		body:       r.Body,
+		received:   newReceivedBytes(connOfRequest(r)),
 		control:    http.NewResponseController(w),
 		credit:     timelimit.ClientReadTimeout,
 		onComplete: func() {},
@@ -49,7 +53,7 @@
 		return 0, err
 	}
 	n, err := b.body.Read(p)
-	earned := time.Duration(n) * time.Second / minBodyRate
+	earned := time.Duration(b.received.add(n)) * time.Second / minBodyRate
 	b.credit = min(timelimit.ClientReadTimeout, b.credit-time.Since(began)+earned)
 	switch {
 	case err == io.EOF:
@@ -61,3 +65,26 @@
 	}
 	return n, err
 }
+
+// receivedBytes counts what has been received of a body.
+type receivedBytes struct {
+	conn      *framing.Conn
+	connStart int64 // bytes read from the connection before the count began, which may include some of the body
+	data      int64 // bytes of the body that have been read
+	counted   int64 // bytes that add has returned
+}
+
+// newReceivedBytes begins to count the bytes of the body that is being received on a connection.
+func newReceivedBytes(conn *framing.Conn) receivedBytes {
+	return receivedBytes{conn: conn, connStart: conn.BytesRead()}
+}
+
+// add records that n more bytes of the body have been read, and returns how many bytes have been received since the last call. Of those
+// that were read from the connection before the count began, only the data counts.
+func (r *receivedBytes) add(n int) (received int64) {
+	r.data += int64(n)
+	total := max(r.data, r.conn.BytesRead()-r.connStart)
+	received = total - r.counted
+	r.counted = total
+	return received
+}
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -214,3 +214,32 @@
 		assertGivenUp(t, began)
 	})
 }
+
+// A client that sends its body in small chunks, at the rate that the platform guarantees for its bytes on the wire, is served.
+// Guards against a rate that counts only the data in the chunks.
+func TestUploadInSmallChunksIsForwarded(t *testing.T) {
+	const (
+		chunkText  = "1\r\nx\r\n"
+		chunkCount = 100_000
+		pieces     = 10 // a second
+		perPiece   = guaranteedRate / len(chunkText) / pieces
+	)
+	upstream := newTestUpstream(t, respondOK)
+	b := newBalancer(t, activeMember("s-00000001", upstream))
+	c, in := b.dial(t)
+	go func() {
+		io.WriteString(c, checkinHead+"Transfer-Encoding: chunked\r\n\r\n")
+		for sent := 0; sent < chunkCount; sent += perPiece {
+			if _, err := io.WriteString(c, strings.Repeat(chunkText, perPiece)); err != nil {
+				return
+			}
+			time.Sleep(time.Second / pieces)
+		}
+		io.WriteString(c, "0\r\n\r\n")
+	}()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertEqual(t, "status", resp.StatusCode, http.StatusOK)
+}
