Count the framing of an upstream's response as progress

Cause: the limit for a rest ran from one part of the decoded body to the next. Progress was read off the decoded body, not off the connection.

Change: the limit applies to each read from the connection (restReader). A client that disconnects cancels the stream by a flag too: its expired deadline could be replaced by the next read's, and the stream was then held for the rest of an upstream that sends nothing.

The replaced deadline was found by reading; no run shows it.

--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -50,11 +50,11 @@
 	upstream := resp.stream
 	stopWatching := context.AfterFunc(x.httpRequest.Context(), func() {
 		if !connOfRequest(x.httpRequest).HasFramingError() {
-			upstream.conn.SetReadDeadline(expiredDeadline)
+			upstream.cancel()
 		}
 	})
 	defer func() {
-		// If the function could not be stopped, it may still set a read deadline on the upstream connection.
+		// If the function could not be stopped, it may still cancel reading from the upstream connection.
 		stopped := stopWatching()
 		var reusable *upstreamConn
 		if result == delivered && stopped {
@@ -76,7 +76,7 @@
 	buffer := newCopyBuffer(x.frontend.bodyBudget)
 	defer buffer.release()
 	part := buffered
-	rest := timelimit.UpstreamRest(x.request.clientWait)
+	upstream.limitRest(timelimit.UpstreamRest(x.request.clientWait))
 	for {
 		if _, err := x.writer.Write(part); err != nil {
 			return x.clientGone(err)
@@ -85,7 +85,7 @@
 			return x.clientGone(err)
 		}
 		var err error
-		part, err = buffer.fill(func(p []byte) (int, error) { return upstream.read(p, rest) })
+		part, err = buffer.fill(upstream.read)
 		switch {
 		case errors.Is(err, io.EOF):
 			if x.frontend.lifecycle.isEnding() {
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -243,3 +243,31 @@
 	}
 	assertEqual(t, "status", resp.StatusCode, http.StatusOK)
 }
+
+// A response whose upstream writes the line before a chunk slowly is forwarded whole. Guards against a limit for an upstream's rest that
+// runs until data arrives, though the framing before it does.
+func TestSlowFramingOfAResponseIsNotARest(t *testing.T) {
+	const (
+		size  = 2 * maxBufferedBody
+		steps = 7
+		pause = time.Second // steps pauses are longer than timelimit.UpstreamStall
+	)
+	upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size)
+		io.Copy(c, patternReader(size))
+		io.WriteString(c, "\r\n3;note=")
+		for range steps {
+			time.Sleep(pause)
+			io.WriteString(c, "x")
+		}
+		_, err := io.WriteString(c, "\r\nend\r\n0\r\n\r\n")
+		return err == nil
+	})
+	b := newBalancer(t, activeMember("s-00000001", upstream))
+	status, body := b.do(t, b.newRequest("checkin", ""))
+	assertEqual(t, "status", status, http.StatusOK)
+	assertEqual(t, "length", len(body), size+len("end"))
+	status, _ = b.do(t, b.newRequest("checkin", "")) // the connection is reused, and its limit is gone
+	assertEqual(t, "status of the next request", status, http.StatusOK)
+	assertEqual(t, "connections to the upstream", upstream.opened(), 1)
+}
--- a/internal/proxy/upstreamconn.go
+++ b/internal/proxy/upstreamconn.go
@@ -26,15 +26,17 @@
 // upstreamConn is a connection to an upstream. It is owned by one attempt or health check or, while idle, by the loop.
 type upstreamConn struct {
 	net.Conn
-	limit     *responseLimit
-	reader    *bufio.Reader // reads from limit
-	idleSince time.Duration // when it became idle, on the loop's clock
-	abandoned bool          // used by the loop only: the connection's attempt has been abandoned
+	rest      *restReader    // reads from Conn
+	limit     *responseLimit // reads from rest
+	reader    *bufio.Reader  // reads from limit
+	idleSince time.Duration  // when it became idle, on the loop's clock
+	abandoned bool           // used by the loop only: the connection's attempt has been abandoned
 }
 
 func newUpstreamConn(c net.Conn) *upstreamConn {
-	limit := &responseLimit{reader: c}
-	return &upstreamConn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, responseReaderSize)}
+	rest := &restReader{conn: c}
+	limit := &responseLimit{reader: rest}
+	return &upstreamConn{Conn: c, rest: rest, limit: limit, reader: bufio.NewReaderSize(limit, responseReaderSize)}
 }
 
 // errStale means that an idle connection can no longer be used: the upstream has closed it, or has sent bytes without a
