Let a shutdown wait for clients that read their responses slowly

Callers that read a long response at 64 KiB a second were cut off 14 s after SIGTERM where no SIGKILL had come: the process closed all connections 10 s after the longest deadline of a class.

Cause: the limit of a shutdown looked at how long a connection was open, not at whether its client moved bytes.

Change: from that limit on a shutdown closes the connections whose clients have moved nothing for 10 s (socket.PeerProgress, as for writes, and bytes read from the client), and all after 10 min, in which 32 MB arrive at 64 kB a second. SIGKILL ends it earlier as before.

Evidence: TestShutdownAwaitsASlowReader failed before ('client connections closed at shutdown limit', 'unexpected EOF', 1 of 1) and passes. TestShutdownGivesUpAClientThatTakesNothing shows that the shutdown still ends for a client whose response rests; it passes.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -89,6 +89,11 @@
 	return c.bytesRead
 }
 
+// ObserveProgress looks at whether the client moves bytes, in either direction, at the time now.
+func (c *Conn) ObserveProgress(progress *socket.PeerProgress, now time.Time) {
+	progress.Observe(c.Conn, now, c.BytesRead())
+}
+
 // IsIdle reports whether the connection is between two requests: no byte of an unanswered request has been read.
 func (c *Conn) IsIdle() bool {
 	c.mu.Lock()
--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,6 +141,13 @@
 	}
 }
 
+// openConns returns the open client connections.
+func (c *clientConns) openConns() []*framing.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.open))
+}
+
 // count returns the number of open client connections.
 func (c *clientConns) count() int {
 	c.mu.Lock()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -28,16 +28,20 @@
 	f.awaitClients()
 }
 
-// awaitClients closes idle connections until no connection is open. At the time limit it closes the rest.
+// awaitClients closes idle connections until no connection is open. From timelimit.ShutdownLimit on it closes those that move nothing, and
+// at timelimit.ShutdownStreamLimit the rest.
 func (f *frontend) awaitClients() {
 	// http.Server.Shutdown can't be used: it also closes a persistent connection that has received part of the next request.
-	limit := time.After(f.lifecycle.longestDeadline + timelimit.ShutdownLimit)
+	began := time.Now()
+	stalled := stalledClients{conns: &f.conns, closesFrom: began.Add(f.lifecycle.longestDeadline + timelimit.ShutdownLimit)}
+	limit := time.After(timelimit.ShutdownStreamLimit)
 	sweep := time.NewTicker(shutdownSweepInterval)
 	defer sweep.Stop()
 	for f.conns.count() > 0 {
 		f.conns.closeIdle(timelimit.ShutdownFirstByte, closedByShutdown)
 		select {
-		case <-sweep.C:
+		case now := <-sweep.C:
+			stalled.sweep(now)
 		case <-limit:
 			slog.Warn("client connections closed at shutdown limit", "connections", f.conns.count())
 			f.conns.logOpen()
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -271,3 +271,50 @@
 	assertEqual(t, "status of the next request", status, http.StatusOK)
 	assertEqual(t, "connections to the upstream", upstream.opened(), 1)
 }
+
+// A client that reads its response slowly gets all of it after a shutdown has begun, and so does the shutdown wait for it. Guards
+// against a limit of a shutdown that cuts off clients that read.
+func TestShutdownAwaitsASlowReader(t *testing.T) {
+	const limit = classDeadline + timelimit.ShutdownLimit
+	upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool { return writeLongResponse(c, "length") })
+	b := newBalancer(t, activeMember("s-00000001", upstream))
+	resp, err := b.client.Do(b.newRequest("checkin", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b.cancel()
+	began := time.Now()
+	if err := readSlowly(resp.Body); err != nil {
+		t.Fatalf("while the client read slowly: %v", err)
+	}
+	if took := time.Since(began); took < limit {
+		t.Fatalf("the client read slowly for %v, want at least %v", took, limit)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Errorf("after the client had read slowly: %v", err)
+	}
+	b.awaitEnd(t)
+}
+
+// A shutdown closes the connections of clients that take nothing at its limit. Guards against a shutdown that never ends.
+func TestShutdownGivesUpAClientThatTakesNothing(t *testing.T) {
+	upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n")
+		io.Copy(c, patternReader(100_000))
+		_, _ = c.Read(make([]byte, 1)) // until the balancer closes the connection
+		return false
+	})
+	b := newBalancer(t, activeMember("s-00000001", upstream))
+	resp, err := b.client.Do(b.newRequest("checkin", "", "X-Deadline-Ms", "60000"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	began := time.Now()
+	b.cancel()
+	b.awaitEnd(t)
+	if took, longest := time.Since(began), classDeadline+timelimit.ShutdownLimit+5*time.Second; took > longest {
+		t.Errorf("the shutdown took %v, want %v at most", took, longest)
+	}
+}
--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -2,13 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"os"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -17,15 +13,6 @@
 	stallCheckInterval = 500 * time.Millisecond
 	// checksPerStall is how often a blocked write is tried within its limit at least.
 	checksPerStall = 4
-	// slowPeerRate, in bytes per second, is the rate of a slow peer that has to be told from one that takes nothing.
-	//
-	// Platform: a client may take a body at 64 kB a second.
-	slowPeerRate = 64_000
-	// windowParts is the number of parts in which a receiver's system reports at least that its buffer has been emptied: Linux reports
-	// a sixteenth, and less often than that for some sizes.
-	windowParts = 8
-	// maxWindowPart bounds the bytes of such a part.
-	maxWindowPart = 2 << 20
 )
 
 // StallWriter writes to a connection whose peer may read slowly. A write fails only once the peer has taken nothing for the time
@@ -42,7 +29,7 @@
 // Write writes p. It returns an error that wraps os.ErrDeadlineExceeded if the peer has stalled or the write has been abandoned, and
 // otherwise that of the connection. It sets the connection's write deadline.
 func (w StallWriter) Write(p []byte) (written int, err error) {
-	var peer peerProgress
+	var peer PeerProgress
 	interval := min(stallCheckInterval, w.Stall/checksPerStall)
 	for {
 		if err := w.Conn.SetWriteDeadline(time.Now().Add(interval)); err != nil {
@@ -56,63 +43,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		peer.observe(w.Conn, time.Now(), written)
-		if peer.hasStalled(w.Stall) {
+		peer.Observe(w.Conn, time.Now(), int64(written))
+		if peer.HasStalled(w.Stall) {
 			return written, err
 		}
 	}
 }
-
-// peerProgress is what has been seen of a peer since a write to it has blocked. The zero value has seen nothing.
-type peerProgress struct {
-	acknowledged uint64    // bytes, since the connection was opened; 0: not known
-	written      int       // bytes of the write that the system has accepted
-	movedAt      time.Time // when the peer was last seen to have taken something, or first looked at
-	observedAt   time.Time
-}
-
-// observe looks at the peer of a connection. written is how many bytes of the write the system has accepted.
-func (p *peerProgress) observe(c net.Conn, now time.Time, written int) {
-	acknowledged := uint64(0)
-	if inner, ok := c.(syscall.Conn); ok {
-		if n, err := Acknowledged(inner); err == nil { // without it only what is written shows that the peer takes something
-			acknowledged = n
-		}
-	}
-	if written != p.written || acknowledged != p.acknowledged || p.movedAt.IsZero() {
-		p.movedAt = now
-	}
-	p.acknowledged = acknowledged
-	p.written = written
-	p.observedAt = now
-}
-
-// hasStalled reports whether the peer has taken nothing for the time stall, or longer if that may be unseen.
-func (p *peerProgress) hasStalled(stall time.Duration) bool {
-	return p.observedAt.Sub(p.movedAt) >= stall+unseenTime(p.acknowledged)
-}
-
-// unseenTime returns for how long a slow peer may read without being seen to, if its system has acknowledged so many bytes: it has a
-// buffer of that size at most.
-func unseenTime(acknowledged uint64) time.Duration {
-	return time.Duration(min(acknowledged/windowParts, maxWindowPart)) * time.Second / slowPeerRate
-}
-
-// Acknowledged returns how many bytes the peer's system has acknowledged since the connection was opened. They may be unread. It is
-// safe for concurrent use.
-func Acknowledged(c syscall.Conn) (bytes uint64, err error) {
-	info, err := tcpInfo(c)
-	if err != nil {
-		return 0, err
-	}
-	return info.Bytes_acked, nil
-}
-
-// tcpInfo returns what the kernel knows of a TCP connection.
-func tcpInfo(c syscall.Conn) (info *unix.TCPInfo, err error) {
-	controlErr := control(c, func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err = errors.Join(controlErr, err); err != nil {
-		return nil, fmt.Errorf("state of a TCP connection: %w", err)
-	}
-	return info, nil
-}
--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -66,3 +66,12 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
 }
+
+// tcpInfo returns what the kernel knows of a TCP connection.
+func tcpInfo(c syscall.Conn) (info *unix.TCPInfo, err error) {
+	controlErr := control(c, func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err = errors.Join(controlErr, err); err != nil {
+		return nil, fmt.Errorf("state of a TCP connection: %w", err)
+	}
+	return info, nil
+}
--- a/internal/timelimit/limits.go
+++ b/internal/timelimit/limits.go
@@ -103,8 +103,13 @@
 	ShutdownAccept = 450 * time.Millisecond
 	// ShutdownFirstByte is how long a connection that has sent nothing stays open once no more connections are accepted.
 	ShutdownFirstByte = 50 * time.Millisecond
-	// ShutdownLimit is how long client connections may stay open beyond the longest deadline of all classes.
+	// ShutdownLimit is how long client connections may stay open beyond the longest deadline of all classes, and how long a client may
+	// move nothing from then on.
 	ShutdownLimit = 10 * time.Second
+	// ShutdownStreamLimit bounds how long a connection whose client moves bytes stays open: 32 MB at 64 kB a second take less.
+	//
+	// Platform: a process that ends has to have answered what it took; SIGKILL may end it earlier.
+	ShutdownStreamLimit = 10 * time.Minute
 	// KillDelay is the time from SIGTERM to SIGKILL beyond the longest deadline of all classes.
 	//
 	// Platform: a request that arrives later than this after SIGTERM has to be answered before SIGKILL.
