--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -82,70 +82,6 @@
 	return c.now()
 }
 
-// BytesRead returns how many bytes have been read from the client, framing included.
-func (c *Conn) BytesRead() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.bytesRead
-}
-
-// ObserveProgress looks at whether the client moves bytes, in either direction, at the time now.
-func (c *Conn) ObserveProgress(progress *socket.PeerProgress, now time.Time) {
-	progress.Observe(c.Conn, now, c.BytesRead())
-}
-
-// IsIdle reports whether the connection is between two requests: no byte of an unanswered request has been read.
-func (c *Conn) IsIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isIdleLocked()
-}
-
-func (c *Conn) isIdleLocked() bool {
-	return c.scanner.atRequestStart() && c.scanner.requestCount == c.answeredCount
-}
-
-// CloseIfIdle closes the connection if it is between two requests, and reports whether this call closed it. The client
-// retries a request that it sends at the same moment, so that request must not be forwarded too: bytes that have been read
-// from the network but not scanned when the connection is closed are dropped.
-func (c *Conn) CloseIfIdle() bool {
-	c.mu.Lock()
-	closes := !c.closedIdle && c.isIdleLocked()
-	c.closedIdle = c.closedIdle || closes
-	c.readingEnded = c.readingEnded || closes
-	c.mu.Unlock()
-	if closes {
-		c.Close()
-	}
-	return closes
-}
-
-// HasStoppedReading reports whether reading has ended by CloseIfIdle or EndAfterResponse: bytes that arrive from now on are dropped.
-func (c *Conn) HasStoppedReading() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.readingEnded
-}
-
-// IsClosedIdle reports whether CloseIfIdle has closed the connection.
-func (c *Conn) IsClosedIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closedIdle
-}
-
-// EndAfterResponse makes the current response the last one of the connection although its head, which has been written,
-// does not announce that. It must be called before the last byte of the response is written, because the client may send
-// its next request after that byte. From then on nothing after the current request is read, so that the client retries such
-// a request on another connection. If a part of the next request has been read already, EndAfterResponse does nothing: that
-// request is answered.
-func (c *Conn) EndAfterResponse() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	nextNotBegun := c.scanner.atRequestStart() && c.scanner.requestCount == c.answeredCount+1
-	c.readingEnded = c.readingEnded || nextNotBegun
-}
-
 // HasFramingError reports whether reading has ended because of a framing error, not because the client disconnected.
 func (c *Conn) HasFramingError() bool {
 	c.mu.Lock()
@@ -211,25 +147,6 @@
 	return 0, framingErr
 }
 
-// lateReadTime bounds the read of bytes that wait.
-const lateReadTime = 100 * time.Millisecond
-
-// readLate reads the bytes of a body that have arrived although its deadline has passed: this process is late, not the client. It returns
-// os.ErrDeadlineExceeded if there are none.
-func (c *Conn) readLate(p []byte) (int, error) {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, os.ErrDeadlineExceeded
-	}
-	if unread, err := socket.Unread(inner); err != nil || unread == 0 {
-		return 0, os.ErrDeadlineExceeded
-	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lateReadTime)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
-
 // errorDelay is the time between the byte that reveals a framing error and the end of reading, on a connection that waits for a
 // request: opening another one costs this process more than it costs the client.
 const errorDelay = 50 * time.Millisecond
@@ -314,15 +231,6 @@
 	return complete > 0 && complete == c.answeredCount && complete == c.scanner.headCount && !c.scanner.atRequestStart()
 }
 
-// Write writes to the client. Where the listener limits writes, it fails once the client has taken nothing for the limit, and replaces
-// the write deadline.
-func (c *Conn) Write(p []byte) (int, error) {
-	if c.writeStall == 0 {
-		return c.Conn.Write(p)
-	}
-	return socket.StallWriter{Conn: c.Conn, Stall: c.writeStall}.Write(p)
-}
-
 // ClosedByClient reports, without blocking, whether the client has closed or reset the connection, also if bytes that it
 // sent before have not been read. net/http detects that only with the read after the last byte of a request: concurrently
 // with forwarding the request or, while the request's body is unread, not at all.
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -155,6 +155,7 @@
 		t.Run(form, func(t *testing.T) {
 			c, in := b.dial(t)
 			t.Parallel()
+			c.SetDeadline(time.Now().Add(slowTime + failureTimeout))
 			go func() {
 				io.WriteString(c, strings.Replace(checkinHead, "aa\r\n", fmt.Sprintf("%02x\r\n", 0xa0+len(form)), 1)+framing)
 				io.Copy(c, patternReader(longBody))
