--- a/internal/framing/progress.go
+++ b/internal/framing/progress.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"syscall"
 	"time"
 
 	"sprucehill/internal/socket"
@@ -16,11 +15,7 @@
 // readLate reads the bytes of a body that have arrived although its deadline has passed: this process is late, not the client. It returns
 // os.ErrDeadlineExceeded if there are none.
 func (c *Conn) readLate(p []byte) (int, error) {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, os.ErrDeadlineExceeded
-	}
-	if unread, err := socket.Unread(inner); err != nil || unread == 0 {
+	if !socket.HasUnread(c.Conn) {
 		return 0, os.ErrDeadlineExceeded
 	}
 	if err := c.Conn.SetReadDeadline(time.Now().Add(lateReadTime)); err != nil {
--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"syscall"
 	"time"
 
@@ -30,6 +31,17 @@
 	return bytes, nil
 }
 
+// HasUnread reports whether bytes have arrived on a connection and have not been read. It is false if that is not known. It is safe for
+// concurrent use.
+func HasUnread(c net.Conn) bool {
+	inner, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	bytes, err := Unread(inner)
+	return err == nil && bytes > 0
+}
+
 // PeekAt copies unread bytes, from the given offset on, into p without consuming them, and returns how many it copied. It does
 // not block. The kernel has no such call: the bytes before the offset are copied into scratch again and again, so that
 // memory does not depend on the offset. The caller must exclude concurrent reads.
--- a/internal/timelimit/limits.go
+++ b/internal/timelimit/limits.go
@@ -35,7 +35,7 @@
 	// Platform: nothing is forwarded later than 0.1 s after a client has disconnected.
 	UploadCheckInterval = 20 * time.Millisecond
 	// WriteStall is how long a client may take nothing of its response, and the least time for which an upstream may take nothing of an
-	// upload. A peer that reads, however slowly, is not given up: see socket.StallWriter.
+	// upload. A peer that reads at the platform's rate for slow clients is not given up: see socket.StallWriter.
 	WriteStall = 10 * time.Second
 	// ClientIdleTimeout bounds how long a connection may be idle between two requests.
 	ClientIdleTimeout = 2 * time.Minute
