Don't stop two test balancers concurrently in TestPeerThatTakesNothingIsGivenUp

The product is not concerned. The balancers now belong to the test as a whole; every assertion and bound stands as it was.

--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -182,15 +182,18 @@
 			t.Errorf("given up after %v, want between %v and %v", took, timelimit.WriteStall, longest)
 		}
 	}
+	// The balancers are the whole test's: they must not be stopped concurrently.
+	ended := make(chan time.Time, 1)
+	upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+		began := time.Now()
+		writeLongResponse(c, "length")
+		ended <- began
+		return false
+	})
+	withSlowClient := newBalancer(t, activeMember("s-00000001", upstream))
+	withSlowUpstream := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: newStalledUpstream(t).addr}))
 	t.Run("client", func(t *testing.T) {
-		ended := make(chan time.Time, 1)
-		upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
-			began := time.Now()
-			writeLongResponse(c, "length")
-			ended <- began
-			return false
-		})
-		b := newBalancer(t, activeMember("s-00000001", upstream))
+		b := withSlowClient
 		b.sendRaw(t, "checkin", "")
 		t.Parallel()
 		assertGivenUp(t, <-ended)
@@ -198,9 +201,7 @@
 		assertEqual(t, "closes", b.metric(t, `svc_client_closes{cause="stalled"}`), 1)
 	})
 	t.Run("upstream", func(t *testing.T) {
-		upstream := newStalledUpstream(t)
-		b := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: upstream.addr}))
-		c, in := b.dial(t)
+		c, in := withSlowUpstream.dial(t)
 		t.Parallel()
 		began := time.Now()
 		go func() {
