Read late bytes in one place, and drop state that the repairs of slow peers left over

- framing.Conn and restReader each had a read of bytes that arrived before their deadline was looked at: socket.ReadLate serves both.
- PeerProgress kept the time of its last look, which its callers have; Acknowledged was exported for one line of the same package.
- writeUpload reset the write deadline, which connPool.put does for every connection that is used again.
- The tests spelled the framing of a body in three places: bodyFraming.
No assertion, bound or case is changed.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -120,7 +120,7 @@
 	if !found {
 		n, err = c.Conn.Read(p)
 		if inBody && errors.Is(err, os.ErrDeadlineExceeded) {
-			n, err = c.readLate(p)
+			n, err = socket.ReadLate(c.Conn, p)
 		}
 		readAt = c.now()
 	}
--- a/internal/framing/progress.go
+++ b/internal/framing/progress.go
@@ -1,7 +1,6 @@
 package framing
 
 import (
-	"os"
 	"time"
 
 	"sprucehill/internal/socket"
@@ -9,21 +8,6 @@
 
 // This file tells a client that moves bytes slowly from one that moves none.
 
-// lateReadTime bounds the read of bytes that wait.
-const lateReadTime = 100 * time.Millisecond
-
-// readLate reads the bytes of a body that have arrived although its deadline has passed: this process is late, not the client. It returns
-// os.ErrDeadlineExceeded if there are none.
-func (c *Conn) readLate(p []byte) (int, error) {
-	if !socket.HasUnread(c.Conn) {
-		return 0, os.ErrDeadlineExceeded
-	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lateReadTime)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
-
 // BytesRead returns how many bytes have been read from the client, framing included.
 func (c *Conn) BytesRead() int64 {
 	c.mu.Lock()
--- a/internal/proxy/attemptwriter.go
+++ b/internal/proxy/attemptwriter.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"strconv"
-	"time"
 
 	"sprucehill/internal/socket"
 	"sprucehill/internal/timelimit"
@@ -48,7 +47,6 @@
 	}
 	buffer := newCopyBuffer(budget)
 	defer buffer.release()
-	defer c.SetWriteDeadline(time.Time{})
 	writer := socket.StallWriter{
 		Conn:        c.Conn,
 		Stall:       timelimit.UpstreamWriteStall(a.request.clientWait),
--- a/internal/proxy/responsestream.go
+++ b/internal/proxy/responsestream.go
@@ -51,30 +51,22 @@
 	cancelled atomic.Bool   // reading fails from now on, where there is a limit
 }
 
-// lateReadTime bounds the read of bytes that wait.
-const lateReadTime = 100 * time.Millisecond
-
 // Read reads what has arrived. It returns os.ErrDeadlineExceeded if the peer has rested for too long, or if reading has been cancelled.
 func (r *restReader) Read(p []byte) (int, error) {
 	if r.limit == 0 {
 		return r.conn.Read(p)
 	}
-	n, err := r.readWithin(p, r.limit)
-	if errors.Is(err, os.ErrDeadlineExceeded) && socket.HasUnread(r.conn) { // this process is late, not the peer
-		return r.readWithin(p, lateReadTime)
-	}
-	return n, err
-}
-
-// readWithin reads what arrives within the time limit, unless reading has been cancelled.
-func (r *restReader) readWithin(p []byte, limit time.Duration) (int, error) {
-	if err := r.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+	if err := r.conn.SetReadDeadline(time.Now().Add(r.limit)); err != nil {
 		return 0, err
 	}
 	if r.cancelled.Load() { // checked after SetReadDeadline, which may have replaced the expired deadline set by cancel
 		return 0, os.ErrDeadlineExceeded
 	}
-	return r.conn.Read(p)
+	n, err := r.conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !r.cancelled.Load() {
+		return socket.ReadLate(r.conn, p)
+	}
+	return n, err
 }
 
 // release returns the connection if it can be reused; otherwise it closes the connection and returns nil. The body must
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -32,8 +32,7 @@
 // at timelimit.ShutdownStreamLimit the rest.
 func (f *frontend) awaitClients() {
 	// http.Server.Shutdown can't be used: it also closes a persistent connection that has received part of the next request.
-	began := time.Now()
-	stalled := stalledClients{conns: &f.conns, closesFrom: began.Add(f.lifecycle.longestDeadline + timelimit.ShutdownLimit)}
+	stalled := stalledClients{conns: &f.conns, closesFrom: time.Now().Add(f.lifecycle.longestDeadline + timelimit.ShutdownLimit)}
 	limit := time.After(timelimit.ShutdownStreamLimit)
 	sweep := time.NewTicker(shutdownSweepInterval)
 	defer sweep.Stop()
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -35,21 +35,24 @@
 	return nil
 }
 
-// writeLongResponse writes a successful response of longBody bytes in the given form.
-func writeLongResponse(c net.Conn, form string) (reusable bool) {
-	head, tail := "", ""
+// bodyFraming returns what precedes a body of the given form and size, the end of the head included, and what follows it.
+func bodyFraming(form string, size int) (beginning, end string) {
 	switch form {
 	case "length":
-		head = fmt.Sprintf("Content-Length: %d\r\n\r\n", longBody)
-	case "chunks":
-		head = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", longBody)
-		tail = "\r\n0\r\n\r\n"
-	case "close":
-		head = "Connection: close\r\n\r\n"
+		return fmt.Sprintf("Content-Length: %d\r\n\r\n", size), ""
+	case "one chunk":
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n0\r\n\r\n"
+	default: // until the connection closes
+		return "Connection: close\r\n\r\n", ""
 	}
-	io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head)
+}
+
+// writeLongResponse writes a successful response of longBody bytes in the given form.
+func writeLongResponse(c net.Conn, form string) (reusable bool) {
+	beginning, end := bodyFraming(form, longBody)
+	io.WriteString(c, "HTTP/1.1 200 OK\r\n"+beginning)
 	io.Copy(c, patternReader(longBody))
-	_, err := io.WriteString(c, tail)
+	_, err := io.WriteString(c, end)
 	return err == nil && form != "close"
 }
 
@@ -63,7 +66,7 @@
 		fast       int64 // bytes that the client reads at full speed first, which makes its system's buffer grow
 	}{
 		{"length", "length", 0},
-		{"chunks", "chunks", 0},
+		{"chunks", "one chunk", 0},
 		{"until the connection closes", "close", 0},
 		{"fast at first", "length", longBody / 2},
 	} {
@@ -97,18 +100,15 @@
 		wait = 2 * timelimit.WriteStall // of the client
 	)
 	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
-		head, end := fmt.Sprintf("Content-Length: %d\r\n\r\n", size), ""
-		if r.Header.Get("X-Form") == "chunks" {
-			head, end = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n0\r\n\r\n"
-		}
-		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head)
+		beginning, end := bodyFraming(r.Header.Get("X-Form"), size)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+beginning)
 		io.Copy(c, patternReader(size-1))
 		time.Sleep(rest)
 		_, err := io.WriteString(c, "x"+end)
 		return err == nil
 	})
 	b := newBalancer(t, activeMember("s-00000001", upstream))
-	for _, form := range []string{"length", "chunks"} {
+	for _, form := range []string{"length", "one chunk"} {
 		request := b.newRequest("checkin", "", "X-Form", form, "X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 		t.Run(form, func(t *testing.T) {
 			t.Parallel()
@@ -148,20 +148,16 @@
 		}
 	}()
 	b := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: l.Addr().String()}))
-	for form, framing := range map[string]string{
-		"length":    fmt.Sprintf("Content-Length: %d\r\n\r\n", longBody),
-		"one chunk": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", longBody),
-	} {
+	for _, form := range []string{"length", "one chunk"} {
+		beginning, end := bodyFraming(form, longBody)
 		t.Run(form, func(t *testing.T) {
 			c, in := b.dial(t)
 			t.Parallel()
 			c.SetDeadline(time.Now().Add(slowTime + failureTimeout))
 			go func() {
-				io.WriteString(c, strings.Replace(checkinHead, "aa\r\n", fmt.Sprintf("%02x\r\n", 0xa0+len(form)), 1)+framing)
+				io.WriteString(c, strings.Replace(checkinHead, "aa\r\n", fmt.Sprintf("%02x\r\n", 0xa0+len(form)), 1)+beginning)
 				io.Copy(c, patternReader(longBody))
-				if form != "length" {
-					io.WriteString(c, "\r\n0\r\n\r\n")
-				}
+				io.WriteString(c, end)
 			}()
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
--- a/internal/proxy/stalledclients.go
+++ b/internal/proxy/stalledclients.go
@@ -32,7 +32,7 @@
 	}
 	closed := 0
 	for conn, progress := range s.progress {
-		if progress.HasStalled(timelimit.ShutdownLimit) {
+		if progress.HasStalled(now, timelimit.ShutdownLimit) {
 			conn.Close()
 			closed++
 		}
--- a/internal/socket/progress.go
+++ b/internal/socket/progress.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// slowPeerRate, in bytes per second, is the rate of a slow peer that has to be told from one that takes nothing.
+	// slowPeerRate, in bytes per second, is the rate of the slowest peer that must not be given up.
 	//
 	// Platform: a client may take a body at 64 kB a second.
 	slowPeerRate = 64_000
@@ -21,10 +21,9 @@
 // PeerProgress is what has been seen of the peer of a connection in a series of looks. Its zero value has seen nothing. It is not safe
 // for concurrent use.
 type PeerProgress struct {
-	acknowledged uint64    // bytes, since the connection was opened; 0: not known
+	acknowledged uint64    // bytes that the peer's system has acknowledged, since the connection was opened; 0: not known
 	moved        int64     // see Observe
 	movedAt      time.Time // when the peer was last seen to have moved bytes, or first looked at
-	observedAt   time.Time
 }
 
 // Observe looks at the peer of a connection at the time now. moved is a count of the caller's: where it has changed since the last look,
@@ -32,8 +31,8 @@
 func (p *PeerProgress) Observe(c net.Conn, now time.Time, moved int64) {
 	acknowledged := p.acknowledged // if it can't be asked for, only the caller's count shows that the peer moves bytes
 	if inner, ok := c.(syscall.Conn); ok {
-		if n, err := Acknowledged(inner); err == nil {
-			acknowledged = n
+		if info, err := tcpInfo(inner); err == nil {
+			acknowledged = info.Bytes_acked
 		}
 	}
 	if moved != p.moved || acknowledged != p.acknowledged || p.movedAt.IsZero() {
@@ -41,12 +40,12 @@
 	}
 	p.acknowledged = acknowledged
 	p.moved = moved
-	p.observedAt = now
 }
 
-// HasStalled reports whether the peer has moved nothing for the time stall, or longer if it may have done so unseen: see StallWriter.
-func (p *PeerProgress) HasStalled(stall time.Duration) bool {
-	return p.observedAt.Sub(p.movedAt) >= stall+unseenTime(p.acknowledged)
+// HasStalled reports whether the peer, which has been observed at the time now, has moved nothing for the time stall before it, or longer
+// if it may have done so unseen: see StallWriter.
+func (p *PeerProgress) HasStalled(now time.Time, stall time.Duration) bool {
+	return now.Sub(p.movedAt) >= stall+unseenTime(p.acknowledged)
 }
 
 // unseenTime returns for how long a slow peer may read without being seen to, if its system has acknowledged so many bytes: it has a
@@ -54,13 +53,3 @@
 func unseenTime(acknowledged uint64) time.Duration {
 	return time.Duration(min(acknowledged/windowParts, maxWindowPart)) * time.Second / slowPeerRate
 }
-
-// Acknowledged returns how many bytes the peer's system has acknowledged since the connection was opened. They may be unread. It is
-// safe for concurrent use.
-func Acknowledged(c syscall.Conn) (bytes uint64, err error) {
-	info, err := tcpInfo(c)
-	if err != nil {
-		return 0, err
-	}
-	return info.Bytes_acked, nil
-}
--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -43,8 +43,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		peer.Observe(w.Conn, time.Now(), int64(written))
-		if peer.HasStalled(w.Stall) {
+		now := time.Now()
+		peer.Observe(w.Conn, now, int64(written))
+		if peer.HasStalled(now, w.Stall) {
 			return written, err
 		}
 	}
--- a/internal/socket/unread.go
+++ b/internal/socket/unread.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -42,6 +43,21 @@
 	return err == nil && bytes > 0
 }
 
+// lateReadTime bounds the read of bytes that wait.
+const lateReadTime = 100 * time.Millisecond
+
+// ReadLate reads bytes that have arrived on a connection although the deadline of a read has passed: this process is late, not the peer.
+// It returns os.ErrDeadlineExceeded if there are none. It sets the connection's read deadline.
+func ReadLate(c net.Conn, p []byte) (int, error) {
+	if !HasUnread(c) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if err := c.SetReadDeadline(time.Now().Add(lateReadTime)); err != nil {
+		return 0, err
+	}
+	return c.Read(p)
+}
+
 // PeekAt copies unread bytes, from the given offset on, into p without consuming them, and returns how many it copied. It does
 // not block. The kernel has no such call: the bytes before the offset are copied into scratch again and again, so that
 // memory does not depend on the offset. The caller must exclude concurrent reads.
