Charge a head for its parsed fields and for its attempt

Cause: the bytes of a head were charged to the budget once, but are held twice: as the strings of the parsed header, which the allocator rounds up, and as the head that is rendered for an attempt. A head of 14,059 bytes held 31.5 KB and counted for 15 KiB, 4 of them free, so that the budget let nearly all 400 in.

Change: the bytes of a head are charged twice. A head of few, long fields is refused with 503 before it is forwarded where the budget is used up; a usual head is still free.

--- a/internal/framing/headlimit.go
+++ b/internal/framing/headlimit.go
@@ -8,6 +8,9 @@
 	// fieldCost is the memory, in bytes, that a field of a head needs beyond its own bytes once it is parsed: an entry of a map
 	// that may have just grown, a slice, and two strings.
 	fieldCost = 200
+	// headCopies is how often the bytes of a head are held at a time: as strings of the parsed header, whose sizes the allocator rounds
+	// up, and as a line that is being parsed or as the head of an attempt.
+	headCopies = 2
 	// chargeUnit is the granularity, in bytes, in which heads are charged.
 	chargeUnit = 1 << 10
 	// maxDroppedHead bounds the bytes of a head that is refused. A longer one ends the connection.
@@ -119,7 +122,7 @@
 	if g.limits.Budget == nil {
 		return
 	}
-	g.cost += len(part.bytes)
+	g.cost += headCopies * len(part.bytes)
 	if part.endsLine() {
 		g.cost += fieldCost
 	}
