balancerctl: report a response without a line as an error

`call` still prints a response without lines.

TestEmptyResponseOfABalancer panicked before, and passes.

--- a/cmd/balancerctl/call.go
+++ b/cmd/balancerctl/call.go
@@ -72,6 +72,15 @@
 	return lines, nil
 }
 
+// callForLines is like callManagement, but returns an error also if the response has no line before responseEndLine.
+func callForLines(ctx context.Context, address, call string) ([]string, error) {
+	lines, err := callManagement(ctx, address, call)
+	if err == nil && len(lines) == 0 {
+		err = fmt.Errorf("reading the response of %s to the call %q: %w", address, call, errEmptyResponse)
+	}
+	return lines, err
+}
+
 // readResponse reads a response: one line, or several that end with responseEndLine.
 func readResponse(r io.Reader) ([]string, error) {
 	var lines []string
--- a/cmd/balancerctl/fleetquery_test.go
+++ b/cmd/balancerctl/fleetquery_test.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// A response without a line before its end is an error of that balancer, and ends neither status nor members.
+func TestEmptyResponseOfABalancer(t *testing.T) {
+	empty := startManagementServer(t, map[string]string{"check": "END\n", "members": "END\n"})
+	for _, command := range []string{"status", "members"} {
+		if code := run([]string{command, empty}); code != exitCheckFailed {
+			t.Errorf("%s exits with %d, want %d", command, code, exitCheckFailed)
+		}
+	}
+}
+
 // status sums metrics over their labels and lists failed zones. A balancer whose response is truncated, or that refuses the
 // connection, is not serving.
 func TestStatusOfAFleet(t *testing.T) {
--- a/cmd/balancerctl/members.go
+++ b/cmd/balancerctl/members.go
@@ -44,7 +44,7 @@
 
 // fetchMemberView queries a balancer for its view.
 func fetchMemberView(ctx context.Context, address string) memberView {
-	lines, err := callManagement(ctx, address, "members")
+	lines, err := callForLines(ctx, address, "members")
 	if err != nil {
 		return memberView{Address: address, Error: err.Error()}
 	}
--- a/cmd/balancerctl/status.go
+++ b/cmd/balancerctl/status.go
@@ -51,7 +51,7 @@
 // fetchStatus queries one balancer.
 func fetchStatus(ctx context.Context, address string) balancerStatus {
 	status := balancerStatus{Address: address, Metrics: map[string]int{}}
-	response, err := callManagement(ctx, address, "check")
+	response, err := callForLines(ctx, address, "check")
 	if err != nil {
 		status.fail(err)
 		return status
