Build the heads of TestHeadIsChargedForWhatItHolds with hostile.Request

The test rendered requests with further fields by a loop of its own; internal/lab/hostile has that. Shapes, bound and assertion are as they were.

--- a/internal/framing/headlimit_test.go
+++ b/internal/framing/headlimit_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
+
+	"sprucehill/internal/lab/hostile"
 )
 
 // chargedBytes is a budget without a bound that records what it is charged.
@@ -48,21 +49,17 @@
 		roundingPercent = 20
 		uncharged       = 4 << 10
 	)
-	for name, shape := range map[string]struct{ fields, length int }{
-		"long fields":       {2, 7000},
-		"one long field":    {1, 15000},
-		"medium fields":     {14, 1000},
-		"many short fields": {240, 50},
-		"very short fields": {250, 1},
-		"a plain head":      {8, 30},
-		"just over a page":  {3, 1400},
+	for name, request := range map[string]hostile.Request{
+		"long fields":       {FieldCount: 2, FieldBytes: 7000},
+		"one long field":    {FieldCount: 1, FieldBytes: 15000},
+		"medium fields":     {FieldCount: 14, FieldBytes: 1000},
+		"many short fields": {FieldCount: 240, FieldBytes: 50},
+		"very short fields": {FieldCount: 250, FieldBytes: 1},
+		"a plain head":      {FieldCount: 8, FieldBytes: 30},
+		"just over a page":  {FieldCount: 3, FieldBytes: 1400},
 	} {
 		t.Run(name, func(t *testing.T) {
-			text := "GET /read/x HTTP/1.1\r\nHost: h\r\n"
-			for i := range shape.fields {
-				text += fmt.Sprintf("X-Field-%d: %s\r\n", i, strings.Repeat("x", shape.length))
-			}
-			text += "\r\n"
+			text := string(request.Head())
 			budget := &chargedBytes{}
 			held := make([]heldHead, heads)
 			before := heapBytes()
