Look for stalled clients by a ticker of their own during a shutdown

A ticker beside the one of the idle connections replaces the state; the first look is still at the beginning. The two places that log closed connections at a limit of the shutdown share clientConns.logClosedAtShutdownLimit. Behaviour is unchanged.

--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// logClosedAtShutdownLimit logs that a number of connections are closed because their clients have used up a limit of a shutdown, and
+// which ones are open.
+func (c *clientConns) logClosedAtShutdownLimit(closed int) {
+	slog.Warn("client connections closed at shutdown limit", "connections", closed)
+	c.logOpen()
+}
+
 // logOpen logs up to maxLoggedConns open connections.
 func (c *clientConns) logOpen() {
 	c.mu.Lock()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -36,14 +36,17 @@
 	limit := time.After(timelimit.ShutdownStreamLimit)
 	sweep := time.NewTicker(shutdownSweepInterval)
 	defer sweep.Stop()
+	progress := time.NewTicker(progressInterval)
+	defer progress.Stop()
+	stalled.sweep(time.Now())
 	for f.conns.count() > 0 {
 		f.conns.closeIdle(timelimit.ShutdownFirstByte, closedByShutdown)
 		select {
-		case now := <-sweep.C:
+		case <-sweep.C:
+		case now := <-progress.C:
 			stalled.sweep(now)
 		case <-limit:
-			slog.Warn("client connections closed at shutdown limit", "connections", f.conns.count())
-			f.conns.logOpen()
+			f.conns.logClosedAtShutdownLimit(f.conns.count())
 			f.server.Close()
 			return
 		}
--- a/internal/proxy/stalledclients.go
+++ b/internal/proxy/stalledclients.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"log/slog"
 	"time"
 
 	"sprucehill/internal/framing"
@@ -16,16 +15,11 @@
 type stalledClients struct {
 	conns      *clientConns
 	closesFrom time.Time // until then it only looks
-	nextLook   time.Time
 	progress   map[*framing.Conn]*socket.PeerProgress
 }
 
-// sweep looks at the open connections, if that is due at the time now, and closes those that have stalled.
+// sweep looks at the open connections at the time now, and closes those that have stalled. It is called every progressInterval.
 func (s *stalledClients) sweep(now time.Time) {
-	if now.Before(s.nextLook) {
-		return
-	}
-	s.nextLook = now.Add(progressInterval)
 	s.observe(now)
 	if now.Before(s.closesFrom) {
 		return
@@ -38,8 +32,7 @@
 		}
 	}
 	if closed > 0 {
-		slog.Warn("client connections closed at shutdown limit", "connections", closed)
-		s.conns.logOpen()
+		s.conns.logClosedAtShutdownLimit(closed)
 	}
 }
 
