--- /dev/null
+++ b/internal/proxy/begunresponse_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sprucehill/internal/discovery"
+)
+
+// concurrentRests is how many endpoints a test has, so that none of its concurrent requests queues.
+const concurrentRests = 40
+
+// membersAt returns a number of list entries for one upstream.
+func membersAt(upstream *testUpstream, count int) (members []discovery.Entry) {
+	for i := range count {
+		members = append(members, activeMember(fmt.Sprintf("s-%08x", i+1), upstream))
+	}
+	return members
+}
+
+// restPoint is where in a response an upstream rests.
+type restPoint struct {
+	name   string
+	before func(beginning, body, end string) (first, rest string) // splits the response after its fields
+}
+
+// restPoints are the points at which a response is neither complete nor without a beginning.
+var restPoints = []restPoint{
+	{"after the head", func(beginning, body, end string) (first, rest string) {
+		headEnd := strings.Index(beginning, "\r\n\r\n") + len("\r\n\r\n")
+		return beginning[:headEnd], beginning[headEnd:] + body + end
+	}},
+	{"before the body", func(beginning, body, end string) (first, rest string) { return beginning, body + end }},
+	{"within the line of a chunk", func(beginning, body, end string) (first, rest string) {
+		cut := max(strings.Index(beginning, "\r\n\r\n")+len("\r\n\r\n"), len(beginning)-len("\r\n")-1)
+		return beginning[:cut], beginning[cut:] + body + end
+	}},
+	{"within the body", func(beginning, body, end string) (first, rest string) {
+		return beginning + body[:len(body)/5], body[len(body)/5:] + end
+	}},
+	{"before the end", func(beginning, body, end string) (first, rest string) {
+		return beginning + body[:len(body)-1], body[len(body)-1:] + end
+	}},
+}
+
+// writeWithRest writes a successful response with a body of the given form and size that rests at the point named by the request.
+func writeWithRest(c net.Conn, r *http.Request, size int, rest time.Duration) (reusable bool) {
+	form := r.Header.Get("X-Form")
+	beginning, end := bodyFraming(form, size)
+	body, _ := io.ReadAll(patternReader(int64(size)))
+	for _, point := range restPoints {
+		if point.name != r.Header.Get("X-Rest") {
+			continue
+		}
+		first, remaining := point.before("HTTP/1.1 200 OK\r\n"+beginning, string(body), end)
+		io.WriteString(c, first)
+		time.Sleep(rest)
+		_, err := io.WriteString(c, remaining)
+		return err == nil && form != "close"
+	}
+	return false
+}
+
+// A long response whose upstream has begun it in time reaches its client whole, although the upstream rests at the deadline. Guards
+// against a deadline that replaces a response that has begun by an error.
+func TestLongResponseThatRestsAtTheDeadlineIsForwarded(t *testing.T) {
+	const (
+		size = 3 * maxBufferedBody
+		wait = 600 * time.Millisecond
+		rest = 2 * time.Second
+	)
+	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
+		time.Sleep(wait / 4)
+		return writeWithRest(c, r, size, rest)
+	})
+	b := newBalancer(t, membersAt(upstream, concurrentRests)...)
+	for _, class := range []string{"read", "checkin"} {
+		for _, form := range []string{"length", "one chunk", "close"} {
+			for _, point := range restPoints {
+				request := b.newRequest(class, "", "X-Form", form, "X-Rest", point.name, "X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+				t.Run(class+", "+form+", "+point.name, func(t *testing.T) {
+					t.Parallel()
+					began := time.Now()
+					resp, err := b.client.Do(request)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer resp.Body.Close()
+					assertEqual(t, "status", resp.StatusCode, http.StatusOK)
+					if took := time.Since(began); took > wait+answerTolerance {
+						t.Errorf("the response began after %v, its client waits %v", took, wait)
+					}
+					n, err := io.Copy(io.Discard, resp.Body)
+					if err != nil || n != size {
+						t.Errorf("got %d bytes and %v, want %d", n, err, size)
+					}
+				})
+			}
+		}
+	}
+}
+
+// What an upstream has written of a response is forwarded while the upstream rests. Guards against a limit for buffering that is only
+// looked at when more arrives.
+func TestBegunResponseIsForwardedWhileItsUpstreamRests(t *testing.T) {
+	const (
+		rest     = 2500 * time.Millisecond
+		longest  = 2 * time.Second // by the operators' rules
+		longSize = 3 * maxBufferedBody
+	)
+	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
+		size, _ := strconv.Atoi(r.Header.Get("X-Size"))
+		return writeWithRest(c, r, size, rest)
+	})
+	b := newBalancer(t, membersAt(upstream, concurrentRests)...)
+	for _, size := range []int{maxBufferedBody / 2, longSize} {
+		for _, form := range []string{"length", "one chunk", "close"} {
+			for _, point := range restPoints {
+				request := b.newRequest("checkin", "", "X-Form", form, "X-Rest", point.name, "X-Size", strconv.Itoa(size))
+				t.Run(fmt.Sprintf("%d bytes, %s, %s", size, form, point.name), func(t *testing.T) {
+					t.Parallel()
+					began := time.Now()
+					resp, err := b.client.Do(request)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer resp.Body.Close()
+					if took := time.Since(began); took > longest {
+						t.Errorf("the response began after %v, want %v at most", took, longest)
+					}
+					n, err := io.Copy(io.Discard, resp.Body)
+					if err != nil || n != int64(size) {
+						t.Errorf("got %d bytes and %v, want %d", n, err, size)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/proxy/uploaddeadline_test.go
+++ b/internal/proxy/uploaddeadline_test.go
@@ -65,12 +65,7 @@
 }
 
 // fleetOf returns as many list entries for one upstream as there are forms of an upload, so that none of them queues.
-func fleetOf(upstream *testUpstream) (members []discovery.Entry) {
-	for i := range uploadForms {
-		members = append(members, activeMember(fmt.Sprintf("s-%08x", i+1), upstream))
-	}
-	return members
-}
+func fleetOf(upstream *testUpstream) []discovery.Entry { return membersAt(upstream, len(uploadForms)) }
 
 // The time of an upload runs from when its last byte arrives at the balancer's machine, although its body is unread because its
 // connection to an upstream is not established. Guards against an answer that comes only when the connection does: the time ran
