--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,16 @@
 	executionBegun   bool          // used by the attempt's goroutine only: beginAttempt of its execution has succeeded
 	onBodyWritten    func()        // uploads only: called when the last byte has been written
 	conn             *upstreamConn // the loop may use it only once the attempt is claimed
-	outcomeDelivered bool          // used by the loop only: the decision module has been given the outcome
+	finisher         attemptFinisher
+	clientDeadline   time.Duration  // of the request when the attempt was started, on the loop's clock; noDeadline as in deadline
+	begun            atomic.Int32   // a responseBegin
+	response         *http.Response // used by the attempt's goroutine only: its head has been read
+	outcomeDelivered bool           // used by the loop only: the decision module has been given the outcome
+}
+
+// attemptFinisher is told once how an attempt has ended. It may be called from any goroutine.
+type attemptFinisher interface {
+	finishAttempt(a *attempt, r attemptResult)
 }
 
 // remaining returns how long after now, on the loop's clock, the balancer will wait for the attempt's response. Until the
@@ -55,6 +65,21 @@
 	return remaining
 }
 
+// responseTime returns the time for the response, given the time now on the loop's clock. The last byte of an upload must have been
+// written.
+func (a *attempt) responseTime(now time.Duration) responseTime {
+	deadline := a.clientDeadline
+	if a.request.upload != nil {
+		deadline = min(deadline, a.request.upload.knownDeadline())
+	}
+	return responseTime{deadline: time.Now().Add(deadline - now), clientWait: a.request.clientWait}
+}
+
+// isResponding reports whether a successful response has begun that the request still needs. The loop calls it.
+func (a *attempt) isResponding() bool {
+	return a.begun.Load() != noResponse && !a.request.closed && !a.outcomeDelivered
+}
+
 // drop prevents the attempt from being sent, unless it has been claimed for writing. It reports whether the attempt was
 // dropped.
 func (a *attempt) drop() bool { return a.stage.CompareAndSwap(attemptWaiting, attemptDropped) }
--- a/internal/proxy/attemptwriter.go
+++ b/internal/proxy/attemptwriter.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/socket"
 	"sprucehill/internal/timelimit"
 )
@@ -27,7 +28,7 @@
 
 // writeAttempt writes an attempt's head and body. The body of an upload is streamed from the client.
 // budget is charged for the buffers of an upload.
-func writeAttempt(a *attempt, c *upstreamConn, budget *byteBudget) (writeProgress, error) {
+func writeAttempt(a *attempt, c *upstreamConn, budget *bodybudget.Budget) (writeProgress, error) {
 	if a.message.rest != nil {
 		return writeUpload(a, c, budget)
 	}
@@ -39,7 +40,7 @@
 
 // writeUpload writes an attempt's head and the buffered part of its body, then streams the rest from the client. It fails once the
 // upstream has taken nothing for timelimit.UpstreamWriteStall.
-func writeUpload(a *attempt, c *upstreamConn, budget *byteBudget) (progress writeProgress, err error) {
+func writeUpload(a *attempt, c *upstreamConn, budget *bodybudget.Budget) (progress writeProgress, err error) {
 	m := &a.message
 	part := net.Buffers{a.head, m.body}
 	if m.isChunked() {
--- a/internal/proxy/begunresponse_test.go
+++ b/internal/proxy/begunresponse_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/discovery"
 )
 
@@ -71,7 +72,7 @@
 // against a deadline that replaces a response that has begun by an error.
 func TestLongResponseThatRestsAtTheDeadlineIsForwarded(t *testing.T) {
 	const (
-		size = 3 * maxBufferedBody
+		size = 3 * bodybudget.MaxBuffered
 		wait = 600 * time.Millisecond
 		rest = 2 * time.Second
 	)
@@ -112,14 +113,14 @@
 	const (
 		rest     = 2500 * time.Millisecond
 		longest  = 2 * time.Second // by the operators' rules
-		longSize = 3 * maxBufferedBody
+		longSize = 3 * bodybudget.MaxBuffered
 	)
 	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
 		size, _ := strconv.Atoi(r.Header.Get("X-Size"))
 		return writeWithRest(c, r, size, rest)
 	})
 	b := newBalancer(t, membersAt(upstream, concurrentRests)...)
-	for _, size := range []int{maxBufferedBody / 2, longSize} {
+	for _, size := range []int{bodybudget.MaxBuffered / 2, longSize} {
 		for _, form := range []string{"length", "one chunk", "close"} {
 			for _, point := range restPoints {
 				request := b.newRequest("checkin", "", "X-Form", form, "X-Rest", point.name, "X-Size", strconv.Itoa(size))
--- a/internal/proxy/copybuffer.go
+++ b/internal/proxy/copybuffer.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"sprucehill/internal/bodybudget"
 )
 
 const (
@@ -28,7 +30,7 @@
 // copyBuffer is the buffer through which one body is streamed. It is large while much data arrives and the budget has room: a
 // stream that stops holds little. It is not safe for concurrent use. The caller has to call release.
 type copyBuffer struct {
-	budget      *byteBudget
+	budget      *bodybudget.Budget
 	small       []byte                 // not an array, which would need room on the stacks of all attempts
 	large       *[largeCopyBuffer]byte // reserved in budget; nil: small is in use
 	muchArrived bool                   // by the last read
@@ -36,7 +38,7 @@
 	pause       time.Duration          // the next one
 }
 
-func newCopyBuffer(budget *byteBudget) *copyBuffer {
+func newCopyBuffer(budget *bodybudget.Budget) *copyBuffer {
 	return &copyBuffer{budget: budget, small: make([]byte, smallCopyBuffer), pause: minTurnPause}
 }
 
@@ -66,7 +68,7 @@
 	switch {
 	case !b.muchArrived:
 		b.release()
-	case b.large == nil && b.budget.reserve(largeCopyBuffer):
+	case b.large == nil && b.budget.Reserve(largeCopyBuffer):
 		b.large = largeBuffers.Get().(*[largeCopyBuffer]byte)
 	}
 	if b.large != nil {
@@ -79,7 +81,7 @@
 func (b *copyBuffer) release() {
 	if b.large != nil {
 		largeBuffers.Put(b.large)
-		b.budget.release(largeCopyBuffer)
+		b.budget.Release(largeCopyBuffer)
 		b.large = nil
 	}
 }
--- a/internal/proxy/dialer.go
+++ b/internal/proxy/dialer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sprucehill/balancer"
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/metrics"
 )
 
@@ -22,14 +23,14 @@
 	openConn        dialFunc
 	timeout         time.Duration        // for opening a connection, and for the response to a health check or an interrupted upload
 	attemptsWritten *metrics.Counter     // counts attempts whose last byte has been written
-	bodyBudget      *byteBudget          // limits the bytes of buffered bodies
+	bodyBudget      *bodybudget.Budget   // limits the bytes of buffered bodies
 	now             func() time.Duration // the loop's clock
 }
 
 // connect returns the idle connection if it can still be used, and opens a new one otherwise. idle may be nil.
 func (d dialer) connect(idle *upstreamConn, address string) (*upstreamConn, error) {
 	if idle != nil {
-		if idle.checkIdle() == nil {
+		if idle.CheckIdle() == nil {
 			return idle, nil
 		}
 		idle.Close() // nothing has been written to it, so using another connection is safe
@@ -41,27 +42,28 @@
 	return newUpstreamConn(c), nil
 }
 
-// runAttempt sends the attempt and reads the response. The attempt is written at most once. The caller ends its execution: a call
-// around this function would make the stack of each attempt grow once more.
-func (d dialer) runAttempt(a *attempt) attemptResult {
+// runAttempt sends the attempt and reads the response. The attempt is written at most once. The caller ends its execution, unless
+// handedOver: then the response is being streamed, and the attempt has been finished. A call around this function would make the stack
+// of each attempt grow once more.
+func (d dialer) runAttempt(a *attempt) (r attemptResult, handedOver bool) {
 	c, err := d.connect(a.conn, a.address)
 	if err != nil {
-		return attemptResult{status: balancer.ConnectFailed}
+		return attemptResult{status: balancer.ConnectFailed}, false
 	}
 	a.conn = c
 	if !a.request.execution.beginAttempt() {
 		a.drop()
-		return attemptResult{status: balancer.NotSent, conn: c, repeated: true}
+		return attemptResult{status: balancer.NotSent, conn: c, repeated: true}, false
 	}
 	a.executionBegun = true
 	remaining, ok := a.claim(d.now()) // now, since the connection may have taken long to open
 	if !ok {
-		return attemptResult{status: balancer.NotSent, conn: c}
+		return attemptResult{status: balancer.NotSent, conn: c}, false
 	}
 	a.head = a.message.renderHead(remaining)
 	progress, err := writeAttempt(a, c, d.bodyBudget)
 	if !progress.complete {
-		return d.afterPartialWrite(a, c, progress, err)
+		return d.afterPartialWrite(a, c, progress, err), false
 	}
 	d.attemptsWritten.Inc()
 	if a.onBodyWritten != nil {
@@ -69,11 +71,11 @@
 	}
 	if err != nil {
 		c.Close()
-		return attemptResult{status: balancer.Reset, bodyConsumed: progress.bodyConsumed}
+		return attemptResult{status: balancer.Reset, bodyConsumed: progress.bodyConsumed}, false
 	}
-	r := d.readResponse(c)
+	r, handedOver = d.readResponse(a)
 	r.bodyConsumed = progress.bodyConsumed
-	return r
+	return r, handedOver
 }
 
 // afterPartialWrite returns the result of an attempt whose last byte was certainly not written, so that the upstream can't
@@ -93,7 +95,7 @@
 		c.Close()
 		return attemptResult{status: balancer.ConnectFailed, bodyConsumed: progress.bodyConsumed}
 	}
-	r := d.readResponse(c)
+	r := d.readShortResponse(c)
 	if r.status != balancer.Rejected {
 		c.Close()
 		return attemptResult{status: balancer.ConnectFailed, bodyConsumed: progress.bodyConsumed}
--- a/internal/proxy/dialer_test.go
+++ b/internal/proxy/dialer_test.go
@@ -10,12 +10,13 @@
 	"time"
 
 	"sprucehill/balancer"
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/metrics"
 )
 
 // testDialer returns a dialer whose clock is stopped at one hour.
 func testDialer() dialer {
-	return dialer{openConn: recordingDial(nil), timeout: time.Second, attemptsWritten: &metrics.Counter{}, bodyBudget: newByteBudget(1 << 20),
+	return dialer{openConn: recordingDial(nil), timeout: time.Second, attemptsWritten: &metrics.Counter{}, bodyBudget: bodybudget.New(1 << 20),
 		now: func() time.Duration { return time.Hour }}
 }
 
@@ -26,7 +27,15 @@
 	}
 	m.header.Set("X-Request-Id", "direct")
 	clientDeadlines.add("direct", time.Second)
-	return &attempt{request: &request{client: waitingClient{}}, message: m, endpoint: &endpoint{}, address: address, conn: c, deadline: time.Hour + time.Second}
+	return &attempt{request: &request{client: waitingClient{}}, message: m, endpoint: &endpoint{}, address: address, conn: c, deadline: time.Hour + time.Second, clientDeadline: time.Hour + time.Second}
+}
+
+// runDirect runs an attempt whose response is not handed over while it is read.
+func (d dialer) runDirect(t *testing.T, a *attempt) attemptResult {
+	t.Helper()
+	r, handedOver := d.runAttempt(a)
+	assertEqual(t, "handed over", handedOver, false)
+	return r
 }
 
 // An attempt is written at most once; only the decision module may retry it. http.Transport would resend a GET, or a
@@ -48,7 +57,7 @@
 				}
 				a := directAttempt(message{requestLine: "POST /x", host: "x", header: h}, s.addr, c)
 				a.endpoint = p
-				return d.runAttempt(a)
+				return d.runDirect(t, a)
 			}
 			first := send(nil)
 			assertEqual(t, "first", first.status, balancer.OK)
@@ -74,12 +83,12 @@
 		t.Fatal(err)
 	}
 	run := func(c *upstreamConn) attemptResult {
-		return d.runAttempt(directAttempt(message{requestLine: "POST /x", host: "x"}, s.addr, c))
+		return d.runDirect(t, directAttempt(message{requestLine: "POST /x", host: "x"}, s.addr, c))
 	}
 	r := run(c)
 	assertEqual(t, "first", r.status, balancer.OK)
 	<-closed
-	if _, err := r.conn.reader.Peek(1); err == nil { // waits for the upstream's close
+	if _, err := r.conn.Read(make([]byte, 1)); err == nil { // waits for the upstream's close
 		t.Fatal("got bytes on an idle connection, want its end")
 	}
 	assertEqual(t, "second", run(r.conn).status, balancer.OK)
@@ -111,12 +120,12 @@
 		{"a head of 2 MB", raw("HTTP/1.1 200 OK\r\n"+strings.Repeat("X-Pad: "+strings.Repeat("x", 1000)+"\r\n", 2000)+"Content-Length: 2\r\n\r\nab", false), balancer.Reset, false},
 		{"80000 responses with 1xx", raw(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 80000)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false), balancer.Reset, false},
 		{"no HTTP", raw("what?\r\n\r\n", false), balancer.Reset, false},
-		{"a large error", raw("HTTP/1.1 500 X\r\nContent-Length: 65537\r\n\r\n"+strings.Repeat("x", maxBufferedBody+1), true), balancer.Error, false},
-		{"503 not run, large", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nConnection: close\r\n\r\n"+strings.Repeat("x", maxBufferedBody+1), false), balancer.Rejected, false},
+		{"a large error", raw("HTTP/1.1 500 X\r\nContent-Length: 65537\r\n\r\n"+strings.Repeat("x", bodybudget.MaxBuffered+1), true), balancer.Error, false},
+		{"503 not run, large", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nConnection: close\r\n\r\n"+strings.Repeat("x", bodybudget.MaxBuffered+1), false), balancer.Rejected, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newTestUpstream(t, c.answer)
-			r := testDialer().runAttempt(directAttempt(message{requestLine: "POST /x", host: "x", body: []byte("b")}, s.addr, nil))
+			r := testDialer().runDirect(t, directAttempt(message{requestLine: "POST /x", host: "x", body: []byte("b")}, s.addr, nil))
 			assertEqual(t, "status", any(r.status), c.status)
 			assertEqual(t, "kept", r.conn != nil, c.reusable)
 			if c.status == balancer.OK {
@@ -133,15 +142,15 @@
 	}
 	l.Close()
 	d := testDialer()
-	assertEqual(t, "refused", d.runAttempt(&attempt{address: l.Addr().String()}).status, balancer.ConnectFailed)
+	assertEqual(t, "refused", d.runDirect(t, &attempt{address: l.Addr().String()}).status, balancer.ConnectFailed)
 
 	// An attempt that is waiting for its connection when its request ends or its upstream is removed is not sent.
 	s := newTestUpstream(t, respondOK)
 	a := directAttempt(message{requestLine: "POST /x", host: "x"}, s.addr, nil)
 	assertEqual(t, "dropped", a.drop(), true)
-	r := d.runAttempt(a)
+	r := d.runDirect(t, a)
 	assertEqual(t, "status", r.status, balancer.NotSent)
-	assertEqual(t, "connection is reusable", r.conn != nil && r.conn.checkIdle() == nil, true)
+	assertEqual(t, "connection is reusable", r.conn != nil && r.conn.CheckIdle() == nil, true)
 	assertEqual(t, "requests written", len(s.arrivals), 0)
 }
 
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -43,6 +43,9 @@
 		sentAt:   now,
 		address:  endpoint.address,
 		deadline: r.deadline,
+		finisher: l,
+
+		clientDeadline: r.deadline,
 	}
 	r.attempts = append(r.attempts, a)
 	r.undelivered++
@@ -70,13 +73,19 @@
 	return ok
 }
 
-// runAttempt runs an attempt and posts its result. It is called on a goroutine of its own.
+// runAttempt runs an attempt. It is called on a goroutine of its own.
 func (l *loop) runAttempt(a *attempt) {
-	finished := attemptFinished{a, l.dialer.runAttempt(a)}
+	if r, handedOver := l.dialer.runAttempt(a); !handedOver {
+		l.finishAttempt(a, r)
+	}
+}
+
+// finishAttempt implements attemptFinisher: it posts the result of an attempt.
+func (l *loop) finishAttempt(a *attempt, r attemptResult) {
 	if a.executionBegun {
-		a.request.execution.endAttempt(finished.result.status)
+		a.request.execution.endAttempt(r.status)
 	}
-	l.post(finished)
+	l.post(attemptFinished{a, r})
 }
 
 // Reject sends a client 503, which tells it that a retry is safe. The response has a Retry-After field if retryAfter is
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -87,7 +87,7 @@
 		e.result.stream.endpoint = endpoint
 	}
 	if answered := l.deliverResult(a, e.result); !answered {
-		l.dialer.bodyBudget.release(cap(e.result.body))
+		l.dialer.bodyBudget.Release(cap(e.result.body))
 	}
 	l.endpoints.deleteIfUnused(endpoint)
 }
@@ -111,7 +111,7 @@
 	}
 	select {
 	case a := <-r.reply: // too late to be forwarded
-		l.dialer.bodyBudget.release(cap(a.body))
+		l.dialer.bodyBudget.Release(cap(a.body))
 		if a.stream != nil {
 			l.pool.close(a.stream.conn)
 		}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -128,7 +128,7 @@
 
 // reply writes the loop's response and counts it.
 func (x *exchange) reply(resp response) {
-	defer x.frontend.bodyBudget.release(cap(resp.body))
+	defer x.frontend.bodyBudget.Release(cap(resp.body))
 	if !x.received() { // the rest of the body is not read, so the next request could not be found
 		x.frontend.closeAfterResponse(x.writer, closedByRequest)
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sprucehill/balancer"
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/framing"
 	"sprucehill/internal/timelimit"
 )
@@ -41,7 +42,7 @@
 type frontend struct {
 	ctx        context.Context // its end stops the goroutines that the frontend starts
 	metrics    *proxyMetrics
-	bodyBudget *byteBudget               // bounds the buffered bodies; shared with the loop
+	bodyBudget *bodybudget.Budget        // bounds the buffered bodies; shared with the loop
 	classes    map[string]balancer.Class // by name
 	post       func(event)               // posts an event to the loop; may block
 	now        func() time.Duration      // the loop's clock
@@ -78,7 +79,7 @@
 	f.acceptor.listener.LimitHeads(framing.HeadLimits{
 		MaxFields: maxHeaderFields,
 		Uncharged: unchargedHead,
-		Budget:    headBudget{f.bodyBudget},
+		Budget:    f.bodyBudget,
 	})
 	f.acceptor.listener.LimitWrites(timelimit.WriteStall)
 	f.conns = clientConns{
@@ -147,7 +148,7 @@
 		return false
 	}
 	// The capacity is evaluated here because the loop drops the request's body when the request is closed.
-	defer f.bodyBudget.release(cap(request.message.body))
+	defer f.bodyBudget.Release(cap(request.message.body))
 	x := exchange{frontend: f, writer: w, httpRequest: r, request: request, body: body}
 	x.serve()
 	return x.attempted
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -280,7 +280,7 @@
 		return len(l.requests) == 0 && inFlight == 0 && idle == l.pool.open && len(l.pendingOutcomes) == 0
 	})
 	eventually(t, "no body bytes reserved, no requests in progress", func() bool {
-		return b.proxy.loop.dialer.bodyBudget.available.Load() == b.proxy.config.bodyBudgetBytes() && b.metric(t, "svc_in_progress") == 0
+		return b.proxy.loop.dialer.bodyBudget.Available() == b.proxy.config.bodyBudgetBytes() && b.metric(t, "svc_in_progress") == 0
 	})
 }
 
--- a/internal/proxy/healthcheck.go
+++ b/internal/proxy/healthcheck.go
@@ -37,8 +37,8 @@
 		c.Close()
 		return attemptResult{status: balancer.ConnectFailed}
 	}
-	r := d.readResponse(c)
-	d.bodyBudget.release(cap(r.body))
+	r := d.readShortResponse(c)
+	d.bodyBudget.Release(cap(r.body))
 	if r.stream != nil { // longer than any valid load report
 		c.Close()
 		return attemptResult{status: balancer.Error}
--- a/internal/proxy/killdeadline_test.go
+++ b/internal/proxy/killdeadline_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/timelimit"
 )
 
@@ -47,13 +48,13 @@
 	f := b.proxy.frontend
 	body, client := io.Pipe()
 	r := b.newRequest("checkin", "")
-	r.Body, r.ContentLength = body, 2*maxBufferedBody
+	r.Body, r.ContentLength = body, 2*bodybudget.MaxBuffered
 	status := make(chan int, 1)
 	go func() {
 		got, _ := b.do(t, r)
 		status <- got
 	}()
-	if _, err := client.Write(make([]byte, 2*maxBufferedBody-1)); err != nil {
+	if _, err := client.Write(make([]byte, 2*bodybudget.MaxBuffered-1)); err != nil {
 		t.Fatal(err)
 	}
 	var q *request
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sprucehill/balancer"
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/discovery"
 	"sprucehill/internal/metrics"
 	"sprucehill/internal/savedstate"
@@ -98,7 +99,7 @@
 		openConn:        open,
 		timeout:         c.ConnectionTimeouts.ConnectTimeout,
 		attemptsWritten: attemptsWritten,
-		bodyBudget:      newByteBudget(c.bodyBudgetBytes()),
+		bodyBudget:      bodybudget.New(c.bodyBudgetBytes()),
 		now:             now,
 	}
 }
--- a/internal/proxy/recording_test.go
+++ b/internal/proxy/recording_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"sprucehill/internal/upstream"
 )
 
 // recordingDial wraps open so that upstream connections record in clientDeadlines when each attempt is written.
@@ -34,7 +36,7 @@
 	return c.Conn.Write(p)
 }
 
-func (c recordingUpstreamConn) CloseWrite() error { return c.Conn.(halfCloser).CloseWrite() }
+func (c recordingUpstreamConn) CloseWrite() error { return c.Conn.(upstream.HalfCloser).CloseWrite() }
 
 func (c recordingUpstreamConn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
--- a/internal/proxy/requestparse.go
+++ b/internal/proxy/requestparse.go
@@ -38,15 +38,15 @@
 	complete := true
 	if r.ContentLength != 0 {
 		body.setFirstByteTimeout(arrivedAt - conn.HeadStartedAt())
-		buffered, complete, err = f.bodyBudget.readBody(body, r.ContentLength, func() bool { return false })
+		buffered, complete, err = f.bodyBudget.ReadBody(body, r.ContentLength)
 		if err != nil {
-			f.bodyBudget.release(cap(buffered))
+			f.bodyBudget.Release(cap(buffered))
 			return nil, nil, fmt.Errorf("body: %w", err)
 		}
 		arrivedAt = conn.ArrivedAt() // the deadline counts from the last byte of the body
 	}
 	if class.Idempotency == balancer.Idempotent && len(buffered) > 0 {
-		f.bodyBudget.release(cap(buffered))
+		f.bodyBudget.Release(cap(buffered))
 		return nil, nil, errGetWithBody
 	}
 	removeHopByHopFields(r.Header)
@@ -65,7 +65,7 @@
 	f.setAttributes(parsed, class, r)
 	if !complete {
 		if err := body.control.EnableFullDuplex(); err != nil {
-			f.bodyBudget.release(cap(buffered))
+			f.bodyBudget.Release(cap(buffered))
 			return nil, nil, fmt.Errorf("body: %w", err)
 		}
 		f.setUpload(parsed, body, r.ContentLength, conn)
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -79,6 +79,9 @@
 	for len(l.pendingOutcomes) > 0 {
 		outcome := l.pendingOutcomes[0]
 		l.pendingOutcomes = l.pendingOutcomes[1:]
+		if outcome.status == balancer.Cancelled && outcome.attempt.isResponding() {
+			continue
+		}
 		l.endAttempt(outcome.attempt, outcome.status)
 	}
 	l.pendingOutcomes = nil
@@ -167,8 +170,12 @@
 	l.deliverResult(a, attemptResult{status: status})
 }
 
-// expireAttempt ends an attempt that has timed out.
-func (l *loop) expireAttempt(a *attempt) { l.endAttempt(a, balancer.Timeout) }
+// expireAttempt ends an attempt that has timed out before the deadline of its request, unless its response has begun.
+func (l *loop) expireAttempt(a *attempt) {
+	if !a.isResponding() {
+		l.endAttempt(a, balancer.Timeout)
+	}
+}
 
 // answerRequest sends the response to a request. Later responses to the same request are ignored.
 func (l *loop) answerRequest(r *request, a response) {
--- a/internal/proxy/requests_test.go
+++ b/internal/proxy/requests_test.go
@@ -29,7 +29,7 @@
 		l := newTestLoop(t, 2)
 		p := &endpoint{id: 1, inFlight: map[*attempt]struct{}{}}
 		d := &deadlineRecorder{}
-		a := &attempt{request: l.addRequest(1), endpoint: p, conn: &upstreamConn{Conn: d}}
+		a := &attempt{request: l.addRequest(1), endpoint: p, conn: newUpstreamConn(d)}
 		a.request.undelivered = 1
 		a.request.closed = closed
 		a.stage.Store(attemptClaimed)
@@ -184,7 +184,7 @@
 	l := newTestLoop(t, 10)
 	endpoint := &endpoint{id: 1, address: "pipe", state: balancer.Active, inFlight: map[*attempt]struct{}{}}
 	l.endpoints[1] = endpoint
-	trial := &requestEndTrial{loop: l, endpoint: endpoint, request: l.addRequest(1), bytesBefore: l.dialer.bodyBudget.available.Load()}
+	trial := &requestEndTrial{loop: l, endpoint: endpoint, request: l.addRequest(1), bytesBefore: l.dialer.bodyBudget.Available()}
 	for _, end := range ends {
 		trial.addAttempt(t, end)
 	}
@@ -196,7 +196,7 @@
 	t.Helper()
 	mine, other := net.Pipe()
 	t.Cleanup(func() { other.Close() })
-	c := &upstreamConn{Conn: mine}
+	c := newUpstreamConn(mine)
 	a := &attempt{request: x.request, index: len(x.request.attempts), endpoint: x.endpoint, conn: c}
 	x.request.attempts = append(x.request.attempts, a)
 	x.request.undelivered++
@@ -209,10 +209,10 @@
 	var r attemptResult
 	switch end {
 	case endsAnswered:
-		x.loop.dialer.bodyBudget.reserve(bodyBytes)
+		x.loop.dialer.bodyBudget.Reserve(bodyBytes)
 		r = attemptResult{status: balancer.OK, body: make([]byte, 0, bodyBytes), conn: c}
 	case endsStreamed:
-		x.loop.dialer.bodyBudget.reserve(bodyBytes)
+		x.loop.dialer.bodyBudget.Reserve(bodyBytes)
 		r = attemptResult{status: balancer.OK, body: make([]byte, 0, bodyBytes), stream: &responseStream{conn: c}}
 	case endsReset:
 		r = attemptResult{status: balancer.Reset}
@@ -245,7 +245,7 @@
 	for len(x.request.reply) > 0 {
 		a := <-x.request.reply
 		x.responses++
-		x.loop.dialer.bodyBudget.release(cap(a.body))
+		x.loop.dialer.bodyBudget.Release(cap(a.body))
 		if a.stream != nil {
 			x.loop.pool.close(a.stream.conn)
 		}
@@ -259,7 +259,7 @@
 	if x.responses > 1 {
 		t.Errorf("%d responses, want at most 1", x.responses)
 	}
-	assertEqual(t, "bytes in the budget", l.dialer.bodyBudget.available.Load(), x.bytesBefore)
+	assertEqual(t, "bytes in the budget", l.dialer.bodyBudget.Available(), x.bytesBefore)
 	assertEqual(t, "connections", l.pool.open, len(x.endpoint.idle))
 	assertEqual(t, "attempts of the request", x.request.undelivered, 0)
 	assertEqual(t, "attempts at the endpoint", len(x.endpoint.inFlight), 0)
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -1,50 +1,147 @@
 package proxy
 
 import (
-	"io"
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"sprucehill/balancer"
+	"sprucehill/internal/bodybudget"
+	"sprucehill/internal/timelimit"
+	"sprucehill/internal/upstream"
 	"sprucehill/internal/wire"
 )
 
+// responseBegin is how far the response to an attempt has begun. A limit of time for the attempt must not treat one that has begun
+// as one that hasn't.
+type responseBegin = int32
+
 const (
-	// maxResponseLength is the maximum length, in bytes, of a response body: twice the longest that the platform's
-	// documentation says occurs. A response with a greater Content-Length is invalid, and is rejected because forwarding
-	// it would end with a truncated response at the client.
-	maxResponseLength = 64 << 20
-	// unknownLengthBufferTime is how long a response of unknown length is buffered before it is streamed. A response that turns
-	// out to be incomplete can be requested again only while it is buffered, but buffering delays a long one for the client.
-	unknownLengthBufferTime = 200 * time.Millisecond
+	noResponse responseBegin = iota
+	// shortResponse is a successful response that is known to be short: its time is that of its last byte.
+	shortResponse
+	// longResponse is a successful response that is known to be long, or may be: its time is that of its first bytes.
+	//
+	// Platform: over 64 KiB the first bytes are timed, and cutting off what the upstream still gives loses the request.
+	longResponse
 )
 
-// readResponse reads an upstream's response. The rest of a long or slow body is left to be streamed. The body of an
-// unsuccessful response is discarded.
-func (d dialer) readResponse(c *upstreamConn) attemptResult {
-	resp, err := c.readFinalHead()
-	if err != nil || resp.ContentLength > maxResponseLength {
-		c.Close()
+// responseTime is the time that is left for a response.
+type responseTime struct {
+	deadline   time.Time     // of the client
+	clientWait time.Duration // how long the client says that it waits
+}
+
+// beginOf returns how far a response has begun of which the head has been read.
+func beginOf(resp *http.Response) responseBegin {
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		return noResponse
+	case resp.ContentLength >= 0 && resp.ContentLength <= bodybudget.MaxBuffered:
+		return shortResponse
+	}
+	return longResponse
+}
+
+// limitBody sets the limits of time for reading a response that has begun now. A response that may be long is forwarded by the
+// deadline of its client; one that is known to be short is complete by then, or has failed.
+func (t responseTime) limitBody(o *upstream.BodyOptions, begin responseBegin) {
+	now := time.Now()
+	o.MaxRest = timelimit.UpstreamRest(t.clientWait)
+	switch begin {
+	case longResponse:
+		o.BufferUntil = now.Add(timelimit.BufferLongResponse)
+		if t.deadline.Before(o.BufferUntil) {
+			o.BufferUntil = t.deadline
+		}
+	case shortResponse:
+		o.StreamUntil = t.deadline
+		if until := now.Add(timelimit.BufferShortResponse); until.Before(t.deadline) {
+			o.BufferUntil = until
+		}
+	default: // only its status matters
+		o.BufferUntil = now.Add(timelimit.BufferLongResponse)
+		o.Receiver = nil
+	}
+}
+
+// readResponse reads the response to an attempt. The rest of a long or slow body is left to be streamed. If the upstream rests when the
+// body is to be streamed, the attempt is finished by then, and handedOver is true. The body of an unsuccessful response is discarded.
+func (d dialer) readResponse(a *attempt) (r attemptResult, handedOver bool) {
+	resp, err := readHead(a.conn)
+	if err != nil {
+		return attemptResult{status: balancer.Reset}, false
+	}
+	begin := beginOf(resp)
+	a.begun.Store(begin)
+	a.response = resp
+	options := upstream.BodyOptions{Budget: d.bodyBudget, Receiver: a}
+	a.responseTime(d.now()).limitBody(&options, begin)
+	body, err := a.conn.ReadBody(resp, options)
+	if errors.Is(err, upstream.ErrHandedOver) {
+		return attemptResult{}, true
+	}
+	return d.afterBody(a.conn, resp, body, err), false
+}
+
+// HandOver implements upstream.Receiver: it finishes the attempt with a response that is streamed.
+func (a *attempt) HandOver(body upstream.Body) {
+	a.finisher.finishAttempt(a, headResult(a.response).withBody(a.conn, a.response, body))
+}
+
+// readShortResponse reads a response that is not forwarded. The caller limits the time for it.
+func (d dialer) readShortResponse(c *upstreamConn) attemptResult {
+	resp, err := readHead(c)
+	if err != nil {
 		return attemptResult{status: balancer.Reset}
 	}
-	c.limit.beginBody()
-	r := attemptResult{status: attemptStatus(resp), load: parseLoadReport(resp.Header.Get("X-Load"))}
-	body, complete, err := d.readResponseBody(c, resp)
-	if err == nil && r.status == balancer.OK {
-		r.body = body
-		r.contentType = resp.Header.Get("Content-Type")
-	} else {
-		d.bodyBudget.release(cap(body))
+	body, err := c.ReadBody(resp, upstream.BodyOptions{Budget: d.bodyBudget})
+	return d.afterBody(c, resp, body, err)
+}
+
+// readHead reads the head of a response. It closes the connection if it returns an error.
+func readHead(c *upstreamConn) (*http.Response, error) {
+	resp, err := c.ReadHead()
+	if err == nil && resp.ContentLength > upstream.MaxResponseLength {
+		err = upstream.ErrResponseTooLong
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// afterBody returns the result of an attempt whose response has been read, given how reading the body ended.
+func (d dialer) afterBody(c *upstreamConn, resp *http.Response, body upstream.Body, err error) attemptResult {
+	r := headResult(resp)
+	if err == nil {
+		return d.discardUnsuccessful(r.withBody(c, resp, body))
+	}
+	d.bodyBudget.Release(cap(body.Buffered))
+	c.Close()
+	if r.status != balancer.OK && errors.Is(err, os.ErrDeadlineExceeded) {
+		return attemptResult{status: balancer.Error, load: r.load} // it may have run: the response is not complete
 	}
+	return attemptResult{status: balancer.Reset}
+}
+
+// headResult returns what the head of a response tells of the result of its attempt.
+func headResult(resp *http.Response) attemptResult {
+	return attemptResult{status: attemptStatus(resp), load: parseLoadReport(resp.Header.Get("X-Load"))}
+}
+
+// withBody adds the body of a response, and its connection.
+func (r attemptResult) withBody(c *upstreamConn, resp *http.Response, body upstream.Body) attemptResult {
+	r.body = body.Buffered
+	r.contentType = resp.Header.Get("Content-Type")
 	switch {
-	case err != nil:
-		c.Close()
-		return attemptResult{status: balancer.Reset}
-	case !complete && r.status == balancer.OK:
-		r.stream = &responseStream{resp: resp, conn: c}
-	case !complete || resp.Close: // the rest of an unsuccessful response is not read
+	case body.Stream != nil:
+		r.stream = &responseStream{Stream: body.Stream, conn: c}
+	case resp.Close:
 		c.Close()
 	default:
 		r.conn = c
@@ -52,16 +149,18 @@
 	return r
 }
 
-// readFinalHead reads the head of the final response, and skips interim (1xx) responses before it.
-func (c *upstreamConn) readFinalHead() (*http.Response, error) {
-	c.limit.beginHead()
-	for {
-		resp, err := http.ReadResponse(c.reader, nil)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-		c.limit.beginLines()
+// discardUnsuccessful removes the body from the result of an attempt that was not successful. The rest of it is not read.
+func (d dialer) discardUnsuccessful(r attemptResult) attemptResult {
+	if r.status == balancer.OK {
+		return r
+	}
+	d.bodyBudget.Release(cap(r.body))
+	r.body, r.contentType = nil, ""
+	if r.stream != nil {
+		r.stream.conn.Close()
+		r.stream = nil
 	}
+	return r
 }
 
 // attemptStatus returns the outcome of an attempt by the head of its response.
@@ -77,21 +176,6 @@
 	return balancer.Error
 }
 
-// readResponseBody buffers a response body, or the beginning of one that will be streamed.
-func (d dialer) readResponseBody(c *upstreamConn, resp *http.Response) (body []byte, complete bool, err error) {
-	began := time.Now()
-	body, complete, err = d.bodyBudget.readBody(resp.Body, resp.ContentLength, func() bool {
-		if resp.ContentLength < 0 {
-			return time.Since(began) > unknownLengthBufferTime
-		}
-		return resp.ContentLength > maxBufferedBody
-	})
-	if err == nil && complete && c.limit.remaining <= 0 { // the read limit ended the body, not the upstream
-		err = io.ErrUnexpectedEOF
-	}
-	return body, complete, err
-}
-
 // parseLoadReport parses a load report: comma-separated name=value pairs. It ignores pairs that it can't parse.
 func parseLoadReport(text string) balancer.LoadReport {
 	var report balancer.LoadReport
--- a/internal/proxy/responsestream_test.go
+++ b/internal/proxy/responsestream_test.go
@@ -9,6 +9,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sprucehill/internal/bodybudget"
+	"sprucehill/internal/timelimit"
+	"sprucehill/internal/upstream"
 )
 
 // A long response is streamed: its beginning reaches the client while the upstream is still writing.
@@ -41,12 +45,12 @@
 // A request whose response is truncated after its beginning has been forwarded is not retried, and the client gets an error.
 func TestBrokenResponseIsVisibleToTheClient(t *testing.T) {
 	for _, head := range []string{"Content-Length: 1000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n20000\r\n"} {
-		upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+		server := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head)
 			io.Copy(c, patternReader(100_000))
 			return false
 		})
-		b := newBalancer(t, activeMember("s-00000001", upstream))
+		b := newBalancer(t, activeMember("s-00000001", server))
 		resp, err := b.client.Do(b.newRequest("read", ""))
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
@@ -55,24 +59,24 @@
 		if err == nil {
 			t.Errorf("%q: the client took a truncated response for complete", head)
 		}
-		assertEqual(t, "requests at the upstream", len(upstream.arrivals), 1)
+		assertEqual(t, "requests at the upstream", len(server.arrivals), 1)
 	}
 }
 
-// A response with a Content-Length above maxResponseLength is invalid: no part of it is forwarded, and an idempotent request is
+// A response with a Content-Length above upstream.MaxResponseLength is invalid: no part of it is forwarded, and an idempotent request is
 // retried. Guards against forwarding the beginning on a connection that is then aborted.
 func TestResponseOfExcessiveLengthIsNotForwarded(t *testing.T) {
 	for class, status := range map[string]int{"read": 200, "checkin": 502} {
 		first := true // one request at a time
-		upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
+		server := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
 			if !first {
 				return respondOK(c, r)
 			}
 			first = false
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nbeginning", maxResponseLength+1)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nbeginning", upstream.MaxResponseLength+1)
 			return false
 		})
-		b := newBalancer(t, activeMember("s-00000001", upstream))
+		b := newBalancer(t, activeMember("s-00000001", server))
 		got, _ := b.do(t, b.newRequest(class, ""))
 		assertEqual(t, class, got, status)
 		b.awaitSettled(t)
@@ -82,18 +86,18 @@
 // A response that reaches the read limit is an error, not a complete response. Guards against forwarding a truncated response of
 // unknown length as complete, if its head has used most of the limit.
 func TestReadLimitDoesNotEndAResponse(t *testing.T) {
-	upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", maxResponseRead-10_000)+"\r\n\r\n")
+	server := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", upstream.MaxResponseRead-10_000)+"\r\n\r\n")
 		io.Copy(c, patternReader(50_000))
 		return false
 	})
-	b := newBalancer(t, activeMember("s-00000001", upstream))
+	b := newBalancer(t, activeMember("s-00000001", server))
 	status, _ := b.do(t, b.newRequest("checkin", ""))
 	assertEqual(t, "status", status, 502)
 	b.awaitSettled(t)
 }
 
-// If a client does not read a large response, no more of it is read from the upstream than fits the buffers of the connections.
+// If a client does not read a large response, no more of it is read from the server than fits the buffers of the connections.
 func TestStreamsApplyBackpressure(t *testing.T) {
 	var wrote [8]int64
 	done := make(chan int, 8)
@@ -128,12 +132,12 @@
 		{"buffered, idempotent", "read", 100, 200},
 		{"buffered, not idempotent", "checkin", 100, 502},
 		{"only the head", "checkin", 0, 502},
-		{"streamed", "read", 8 * maxBufferedBody, 0},
+		{"streamed", "read", 8 * bodybudget.MaxBuffered, 0},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			proceed := make(chan struct{})
 			first := true // one request at a time
-			upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
+			server := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
 				if !first {
 					return respondOK(c, r)
 				}
@@ -146,7 +150,7 @@
 				c.(*net.TCPConn).SetLinger(0)
 				return false
 			})
-			b := newBalancer(t, activeMember("s-00000001", upstream))
+			b := newBalancer(t, activeMember("s-00000001", server))
 			resp, err := b.client.Do(b.newRequest(x.class, ""))
 			if err != nil {
 				t.Fatal(err)
@@ -172,25 +176,26 @@
 	}
 }
 
-// A response that never ends is aborted: a buffered one at the deadline of the request; a streamed one if no byte arrives within
-// timelimit.UpstreamRest, or if it exceeds maxResponseLength. The client gets an error response, or a truncated response that
-// it recognizes as such.
+// A response that never ends is aborted: one that has not begun, or is known to be short, at the deadline of the request; a streamed one
+// if no byte arrives within timelimit.UpstreamRest, or if it exceeds upstream.MaxResponseLength. The client gets an error response, or,
+// in time too, a truncated response that it recognizes as such.
 func TestEndlessResponseIsBrokenOff(t *testing.T) {
 	const deadline = 300 * time.Millisecond
 	for _, x := range []struct {
 		name, beginning string
-		endless         bool // the upstream never stops sending
-		status          int  // the status that the client gets; 0 if a part of the response is forwarded
+		endless         bool  // the upstream never stops sending
+		status          int   // the status that the client gets
+		least           int64 // bytes of the body that the client gets, at least
 	}{
-		{"nothing", "", false, http.StatusGatewayTimeout},
-		{"half a head", "HTTP/1.1 200 OK\r\nContent-Le", false, http.StatusGatewayTimeout},
-		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, http.StatusGatewayTimeout},
-		{"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", false, http.StatusGatewayTimeout},
-		{"no length, endless", "HTTP/1.1 200 OK\r\n\r\n", true, 0},
+		{"nothing", "", false, http.StatusGatewayTimeout, 0},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-Le", false, http.StatusGatewayTimeout, 0},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, http.StatusGatewayTimeout, 0},
+		{"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", false, http.StatusOK, int64(len("half"))},
+		{"no length, endless", "HTTP/1.1 200 OK\r\n\r\n", true, http.StatusOK, upstream.MaxResponseLength},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			release := make(chan struct{})
-			upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+			server := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
 				io.WriteString(c, x.beginning)
 				if x.endless {
 					io.Copy(c, &patternSource{}) // until the connection is closed
@@ -199,21 +204,58 @@
 				}
 				return false
 			})
-			b := newBalancer(t, activeMember("s-00000001", upstream))
+			b := newBalancer(t, activeMember("s-00000001", server))
 			defer close(release)
+			began := time.Now()
 			resp, err := b.client.Do(b.newRequest("checkin", "", "X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10)))
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer resp.Body.Close()
+			if took := time.Since(began); took > deadline+answerTolerance {
+				t.Errorf("the response began after %v, its client waits %v", took, deadline)
+			}
+			assertEqual(t, "status", resp.StatusCode, x.status)
 			n, err := io.Copy(io.Discard, resp.Body)
-			if x.status != 0 {
-				assertEqual(t, "status", resp.StatusCode, x.status)
+			if x.status != http.StatusOK {
 				return
 			}
-			if err == nil || n < maxResponseLength {
-				t.Errorf("got %d bytes and error %v, want at least %d bytes and an error", n, err, maxResponseLength)
+			if err == nil || n < x.least {
+				t.Errorf("got %d bytes and error %v, want at least %d bytes and an error", n, err, x.least)
+			}
+			if took, longest := time.Since(began), timelimit.UpstreamRest(deadline)+2*time.Second; !x.endless && took > longest {
+				t.Errorf("broken off after %v, want %v at most", took, longest)
 			}
 		})
 	}
 }
+
+// A response that is known to be short is forwarded while its upstream rests, but no longer than its client waits: its time is that of
+// its last byte.
+func TestShortResponseEndsAtTheDeadline(t *testing.T) {
+	const (
+		wait = timelimit.BufferShortResponse + time.Second
+		half = "half"
+	)
+	release := make(chan struct{})
+	server := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*len(half), half)
+		<-release
+		return false
+	})
+	b := newBalancer(t, activeMember("s-00000001", server))
+	defer close(release)
+	began := time.Now()
+	resp, err := b.client.Do(b.newRequest("checkin", "", "X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil || string(body) != half {
+		t.Errorf("got %q and error %v, want %q and an error", body, err, half)
+	}
+	if took := time.Since(began); took > wait+answerTolerance {
+		t.Errorf("broken off after %v, its client waits %v", took, wait)
+	}
+}
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"os"
 	"strconv"
-
-	"sprucehill/internal/timelimit"
 )
 
 // writeOutcome is how writing a response ended.
@@ -50,7 +48,7 @@
 	upstream := resp.stream
 	stopWatching := context.AfterFunc(x.httpRequest.Context(), func() {
 		if !connOfRequest(x.httpRequest).HasFramingError() {
-			upstream.cancel()
+			upstream.Cancel()
 		}
 	})
 	defer func() {
@@ -64,7 +62,7 @@
 		}
 		x.frontend.post(streamFinished{upstream.endpoint, reusable})
 	}()
-	if n := upstream.resp.ContentLength; n >= 0 {
+	if n := upstream.ContentLength(); n >= 0 {
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	x.writer.WriteHeader(resp.status)
@@ -76,7 +74,6 @@
 	buffer := newCopyBuffer(x.frontend.bodyBudget)
 	defer buffer.release()
 	part := buffered
-	upstream.limitRest(timelimit.UpstreamRest(x.request.clientWait))
 	for {
 		if _, err := x.writer.Write(part); err != nil {
 			return x.clientGone(err)
@@ -85,7 +82,7 @@
 			return x.clientGone(err)
 		}
 		var err error
-		part, err = buffer.fill(upstream.read)
+		part, err = buffer.fill(upstream.Read)
 		switch {
 		case errors.Is(err, io.EOF):
 			if x.frontend.lifecycle.isEnding() {
--- a/internal/proxy/secondresponse_test.go
+++ b/internal/proxy/secondresponse_test.go
@@ -56,10 +56,6 @@
 	t.Helper()
 	b.await(t, "unread bytes on the idle connection", func(l *loop) bool {
 		idle := l.endpoints[1].idle
-		if len(idle) != 1 {
-			return false
-		}
-		_, err := idle[0].reader.Peek(1)
-		return err == nil
+		return len(idle) == 1 && idle[0].CheckIdle() != nil
 	})
 }
--- a/internal/proxy/slowpeer_test.go
+++ b/internal/proxy/slowpeer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/timelimit"
 )
 
@@ -95,7 +96,7 @@
 // limit for the client that runs while the upstream rests.
 func TestEndOfAResponseFollowsALongRest(t *testing.T) {
 	const (
-		size = 2 * maxBufferedBody
+		size = 2 * bodybudget.MaxBuffered
 		rest = timelimit.WriteStall + time.Second
 		wait = 2 * timelimit.WriteStall // of the client
 	)
@@ -246,7 +247,7 @@
 // runs until data arrives, though the framing before it does.
 func TestSlowFramingOfAResponseIsNotARest(t *testing.T) {
 	const (
-		size  = 2 * maxBufferedBody
+		size  = 2 * bodybudget.MaxBuffered
 		steps = 7
 		pause = time.Second // steps pauses are longer than timelimit.UpstreamStall
 	)
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"sprucehill/balancer"
 )
 
 // timer is a pending timer of the event loop. It is the timeout of an attempt, the deadline of a request or, if both are
@@ -102,10 +104,13 @@
 	}
 }
 
-// expireRequest ends the attempts of a request at its deadline.
+// expireRequest ends the attempts of a request at its deadline. One with a long response that has begun goes on: the response is
+// forwarded.
 func (l *loop) expireRequest(r *request) {
 	for _, a := range r.attempts {
-		l.expireAttempt(a)
+		if !a.isResponding() || a.begun.Load() != longResponse {
+			l.endAttempt(a, balancer.Timeout)
+		}
 	}
 }
 
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sprucehill/internal/bodybudget"
 )
 
 // Large request and response bodies are forwarded completely, in every framing, and the client connection stays reusable.
@@ -86,21 +88,21 @@
 		if err != nil {
 			return
 		}
-		io.ReadFull(r.Body, make([]byte, maxBufferedBody))
+		io.ReadFull(r.Body, make([]byte, bodybudget.MaxBuffered))
 		close(began)
 		io.Copy(io.Discard, r.Body)
 		writeOK(c, "done")
 	}()
 	b := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: l.Addr().String()}))
 	c, in := b.dial(t)
-	fmt.Fprintf(c, "%sX-Deadline-Ms: 50\r\nContent-Length: %d\r\n\r\n", strings.Replace(checkinHead, "X-Deadline-Ms: 4000\r\n", "", 1), 2*maxBufferedBody)
-	if _, err := io.CopyN(c, patternReader(maxBufferedBody+1), maxBufferedBody+1); err != nil {
+	fmt.Fprintf(c, "%sX-Deadline-Ms: 50\r\nContent-Length: %d\r\n\r\n", strings.Replace(checkinHead, "X-Deadline-Ms: 4000\r\n", "", 1), 2*bodybudget.MaxBuffered)
+	if _, err := io.CopyN(c, patternReader(bodybudget.MaxBuffered+1), bodybudget.MaxBuffered+1); err != nil {
 		t.Fatal(err)
 	}
 	<-began // the upstream receives the body while the client is still sending
 	assertEqual(t, "in progress before the last byte", b.metric(t, "svc_in_progress"), 0)
 	time.Sleep(100 * time.Millisecond) // past the deadline
-	if _, err := io.CopyN(c, patternReader(maxBufferedBody-1), maxBufferedBody-1); err != nil {
+	if _, err := io.CopyN(c, patternReader(bodybudget.MaxBuffered-1), bodybudget.MaxBuffered-1); err != nil {
 		t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(in, nil)
@@ -116,8 +118,8 @@
 	upstream := newTestUpstream(t, respondOK)
 	b := newBalancer(t, activeMember("s-00000001", upstream))
 	c, in := b.dial(t)
-	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", checkinHead, 4*maxBufferedBody)
-	io.CopyN(c, patternReader(2*maxBufferedBody), 2*maxBufferedBody)
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", checkinHead, 4*bodybudget.MaxBuffered)
+	io.CopyN(c, patternReader(2*bodybudget.MaxBuffered), 2*bodybudget.MaxBuffered)
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -142,7 +144,7 @@
 	b := newBalancer(t, activeMember("s-00000001", upstream), activeMember("s-00000002", &testUpstream{addr: dead.Addr().String()}))
 	for range 3 { // a refused connection may be retried; an error response may not
 		r := b.newRequest("checkin", "")
-		r.Body, r.ContentLength = io.NopCloser(patternReader(4*maxBufferedBody)), -1
+		r.Body, r.ContentLength = io.NopCloser(patternReader(4*bodybudget.MaxBuffered)), -1
 		status, _ := b.do(t, r)
 		assertEqual(t, "status", status, http.StatusBadGateway)
 	}
--- a/internal/proxy/uploadclose_test.go
+++ b/internal/proxy/uploadclose_test.go
@@ -27,7 +27,7 @@
 	size           int  // bytes of the body, few enough for its unread part to fit into the receive buffer
 	chunked        bool // sent without a Content-Length
 	expectContinue bool // the client awaits 100 Continue before it sends the body
-	noBudget       bool // the body budget is used up, so that only minBodyBuffer bytes are buffered
+	noBudget       bool // the body budget is used up, so that only bodybudget.MinBuffered bytes are buffered
 }
 
 // uploadForms are the forms of an upload. The smallest one has been read from the network completely, up to the buffer of
@@ -87,9 +87,9 @@
 		return func() {}
 	}
 	budget := b.proxy.loop.dialer.bodyBudget
-	all := int(budget.available.Load())
-	budget.release(-all)
-	return func() { budget.release(all) }
+	all := int(budget.Available())
+	budget.Release(-all)
+	return func() { budget.Release(all) }
 }
 
 // awaitAcknowledged waits until the peer's machine has acknowledged all that was written to a connection.
--- a/internal/timelimit/limits.go
+++ b/internal/timelimit/limits.go
@@ -53,6 +53,13 @@
 const (
 	// UpstreamStall is the least time for which an upstream may send nothing of a streamed response: see UpstreamRest.
 	UpstreamStall = 5 * time.Second
+	// BufferLongResponse is how long a response that may be long is buffered before it is streamed. One that turns out to be
+	// incomplete can be requested again only while it is buffered, but buffering delays a long one for the client.
+	BufferLongResponse = 200 * time.Millisecond
+	// BufferShortResponse is the same for a response that is known to be short: its client needs all of it.
+	//
+	// Platform: the rest of a response is not held back for 2 s.
+	BufferShortResponse = time.Second
 	// MaxClientWait bounds the time that a client may ask an upstream to be waited for while it does nothing.
 	MaxClientWait = 2 * time.Minute
 	// UpstreamIdleMargin is how long before the upstream the balancer closes an idle connection.
--- a/internal/proxy/responselimit.go
+++ b/internal/upstream/limit.go
@@ -1,4 +1,4 @@
-package proxy
+package upstream
 
 import (
 	"bytes"
@@ -42,7 +42,7 @@
 
 // beginBody sets the limits for what is buffered of a body, or read of a streamed body at a time.
 func (l *responseLimit) beginBody() {
-	l.remaining = maxResponseRead
+	l.remaining = MaxResponseRead
 	l.inHead = false
 }
 
--- a/internal/proxy/restreader_test.go
+++ b/internal/upstream/restreader_test.go
@@ -1,4 +1,4 @@
-package proxy
+package upstream
 
 import (
 	"errors"
@@ -32,18 +32,31 @@
 		if _, err := peer.Write([]byte(sent)); err != nil {
 			t.Fatal(err)
 		}
-		eventually(t, "the bytes have arrived", func() bool { return socket.HasUnread(c) == (sent != "") })
+		awaitUnread(t, c, sent != "")
 		reader := restReader{conn: c, limit: time.Nanosecond} // has passed when the read begins
 		got := make([]byte, len("bytes"))
 		n, err := reader.Read(got)
-		assertEqual(t, "read", string(got[:n]), sent)
-		assertEqual(t, "timed out", errors.Is(err, os.ErrDeadlineExceeded), sent == "")
+		if timedOut := errors.Is(err, os.ErrDeadlineExceeded); string(got[:n]) != sent || timedOut != (sent == "") {
+			t.Errorf("read %q, timed out %v; want %q, %v", got[:n], timedOut, sent, sent == "")
+		}
 		reader.cancelled.Store(true)
 		if _, err := peer.Write([]byte("more")); err != nil {
 			t.Fatal(err)
 		}
-		eventually(t, "more bytes have arrived", func() bool { return socket.HasUnread(c) })
-		_, err = reader.Read(got)
-		assertEqual(t, "timed out once it is cancelled", errors.Is(err, os.ErrDeadlineExceeded), true)
+		awaitUnread(t, c, true)
+		if _, err = reader.Read(got); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a cancelled read: got %v, want %v", err, os.ErrDeadlineExceeded)
+		}
+	}
+}
+
+// awaitUnread waits until a connection has unread bytes, or none.
+func awaitUnread(t *testing.T, c net.Conn, want bool) {
+	t.Helper()
+	const limit = 10 * time.Second
+	for began := time.Now(); socket.HasUnread(c) != want; time.Sleep(time.Millisecond) {
+		if time.Since(began) > limit {
+			t.Fatalf("unread bytes are not as expected after %v", limit)
+		}
 	}
 }
