Don't touch a connection after its response stream has been handed over

Cause: ReadBody cleared what it knew of the response by a defer, which ran after the result of the read in progress had been given to the stream's reader. That one could have finished and returned the connection, and the next attempt on it had begun to read: its buffer would have been cleared under it. Change: the state is cleared before the result is handed on. With it come tests of the paths beside the incident: a client that leaves during a rest, a response that breaks off while it is buffered and after, a body budget that is used up, an interim response.

--- a/internal/proxy/begunresponse_test.go
+++ b/internal/proxy/begunresponse_test.go
@@ -12,6 +12,7 @@
 
 	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/discovery"
+	"sprucehill/internal/timelimit"
 )
 
 // concurrentRests is how many endpoints a test has, so that none of its concurrent requests queues.
@@ -144,3 +145,83 @@
 		}
 	}
 }
+
+// A client that leaves while the upstream of its response rests is noticed in time, before the response is forwarded and after.
+func TestClientThatLeavesDuringARestIsNoticed(t *testing.T) {
+	for name, stay := range map[string]time.Duration{"buffered": timelimit.BufferLongResponse / 4, "forwarded": 2 * timelimit.BufferLongResponse} {
+		t.Run(name, func(t *testing.T) {
+			begun, closed := make(chan struct{}), make(chan time.Time, 1)
+			upstream := newTestUpstream(t, func(c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf")
+				close(begun)
+				_, _ = c.Read(make([]byte, 1)) // until the balancer ends the attempt
+				closed <- time.Now()
+				return false
+			})
+			b := newBalancer(t, activeMember("s-00000001", upstream))
+			client := b.sendRaw(t, "checkin", "")
+			<-begun
+			time.Sleep(stay)
+			left := time.Now()
+			client.Close()
+			if took := (<-closed).Sub(left); took > disconnectGrace {
+				t.Errorf("the attempt ended %v after the client had left, want %v at most", took, disconnectGrace)
+			}
+			b.awaitSettled(t)
+		})
+	}
+}
+
+// A response that breaks off is requested again while it is buffered, and is recognized as truncated after that.
+func TestBegunResponseThatBreaksOffIsRequestedAgain(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		rest  time.Duration
+		whole bool
+	}{
+		{"while it is buffered", timelimit.BufferLongResponse / 2, true},
+		{"while it is forwarded", 2 * timelimit.BufferLongResponse, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			first := true // one request at a time
+			upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
+				if !first {
+					return respondOK(c, r)
+				}
+				first = false
+				io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+				time.Sleep(x.rest)
+				c.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			b := newBalancer(t, activeMember("s-00000001", upstream))
+			resp, err := b.client.Do(b.newRequest("read", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			assertEqual(t, "complete", err == nil, x.whole)
+			assertEqual(t, "response is that of the second attempt", string(body) == "done", x.whole)
+			b.awaitSettled(t)
+		})
+	}
+}
+
+// A response that has begun is forwarded although no memory is left for its buffer.
+func TestBegunResponseIsForwardedWithoutABudget(t *testing.T) {
+	const size = bodybudget.MaxBuffered / 2
+	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
+		return writeWithRest(c, r, size, 2*timelimit.BufferLongResponse)
+	})
+	b := newBalancer(t, activeMember("s-00000001", upstream))
+	defer uploadForm{noBudget: true}.useUpBudget(b)()
+	for _, form := range []string{"length", "one chunk", "close"} {
+		for _, point := range restPoints {
+			status, body := b.do(t, b.newRequest("checkin", "", "X-Form", form, "X-Rest", point.name))
+			if status != http.StatusOK || len(body) != size {
+				t.Errorf("%s, %s: status %d with %d of %d bytes", form, point.name, status, len(body), size)
+			}
+		}
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -86,7 +86,6 @@
 	c.limit.beginBody()
 	c.rest.limit, c.rest.end, c.rest.bufferUntil = o.MaxRest, o.StreamUntil, o.BufferUntil
 	c.read = bodyRead{resp: resp, buffer: o.Budget.NewBuffer(resp.ContentLength), receiver: o.Receiver}
-	defer func() { c.read = bodyRead{} }() // an idle connection must not keep the body in memory
 	buffer := &c.read.buffer
 	for !buffer.IsComplete() {
 		room, ok := buffer.Room()
@@ -98,7 +97,8 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if stream := c.read.stream; stream != nil {
-			stream.pending <- readResult{room[:n], err}
+			c.read = bodyRead{}
+			stream.pending <- readResult{room[:n], err} // from here on the connection belongs to the stream's reader
 			return Body{}, ErrHandedOver
 		}
 		buffer.Commit(n)
@@ -106,7 +106,7 @@
 		case err == io.EOF:
 			return c.complete(), nil
 		case err != nil:
-			return Body{Buffered: buffer.Contents()}, err
+			return Body{Buffered: c.takeBuffered()}, err
 		case n > 0 && !buffer.IsComplete() && c.isBufferingOver():
 			return c.streamed(), nil
 		}
@@ -119,7 +119,7 @@
 	if c.read.receiver == nil {
 		return false
 	}
-	c.read.stream = &Stream{resp: c.read.resp, conn: c, pending: make(chan readResult, 1)}
+	c.read.stream = &Stream{resp: c.read.resp, conn: c, pending: make(chan readResult, 1), atRest: true}
 	c.read.receiver.HandOver(Body{Buffered: c.read.buffer.Contents(), Stream: c.read.stream})
 	return true
 }
@@ -137,11 +137,19 @@
 func (c *Conn) complete() Body {
 	c.rest.bufferUntil = time.Time{}
 	c.rest.limit = 0
-	return Body{Buffered: c.read.buffer.Contents()}
+	return Body{Buffered: c.takeBuffered()}
 }
 
 // streamed returns a body whose rest is to be streamed.
 func (c *Conn) streamed() Body {
 	c.rest.bufferUntil = time.Time{}
-	return Body{Buffered: c.read.buffer.Contents(), Stream: &Stream{resp: c.read.resp, conn: c}}
+	stream := &Stream{resp: c.read.resp, conn: c}
+	return Body{Buffered: c.takeBuffered(), Stream: stream}
+}
+
+// takeBuffered ends reading a body and returns what has been buffered. An idle connection must not keep it in memory.
+func (c *Conn) takeBuffered() []byte {
+	buffered := c.read.buffer.Contents()
+	c.read = bodyRead{}
+	return buffered
 }
