Count streamed responses and log those that are broken off, and timeouts

New: svc_streams by cause (size, rest), svc_stream_ends by cause (delivered, client, rest, upstream), the log lines 'response broken off' and 'attempt timed out' with the request's ID, the endpoint and whether the response had begun, one a second each at most. The limit of log lines in executionRegistry is the same type now.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"sprucehill/balancer"
@@ -19,17 +18,17 @@
 // executionRegistry knows the requests that may have been executed, of the classes that may not be repeated freely. Its methods
 // may be called from any goroutine.
 type executionRegistry struct {
-	table    *dedup.Table
-	file     *dedup.File // nil: no other process shares the table
-	now      func() time.Duration
-	loggedAt atomic.Int64 // when a failure was last logged, a time.Duration on the loop's clock
+	table *dedup.Table
+	file  *dedup.File // nil: no other process shares the table
+	now   func() time.Duration
+	log   logLimit
 }
 
 // openExecutionRegistry returns the registry of a process that serves clients at an address. If the listener is inherited, the
 // registry is shared through the temporary folder with the other process of an upgrade. Where that fails the process goes on
 // with a registry of its own.
 func openExecutionRegistry(c *Config, address string, now func() time.Duration) *executionRegistry {
-	registry := &executionRegistry{table: dedup.NewTable(), now: now}
+	registry := &executionRegistry{table: dedup.NewTable(), now: now, log: logLimit{interval: sharingLogInterval}}
 	if !c.inheritsListener() {
 		return registry
 	}
@@ -59,12 +58,9 @@
 
 // logFailure logs an error, unless one was logged shortly before.
 func (r *executionRegistry) logFailure(err error) {
-	now := r.now()
-	if err == nil || now-time.Duration(r.loggedAt.Load()) < sharingLogInterval {
-		return
+	if err != nil && r.log.allows(r.now()) {
+		slog.Warn("request IDs not shared", "err", err)
 	}
-	r.loggedAt.Store(int64(now))
-	slog.Warn("request IDs not shared", "err", err)
 }
 
 // forRequest returns the execution of a request with the given X-Request-Id.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -52,6 +52,7 @@
 	conns      clientConns
 	drainSweep drainSweep
 	executions *executionRegistry // set by New
+	streamLog  logLimit           // of responses that were broken off
 }
 
 // acceptor is the listener for client connections and its state.
@@ -75,6 +76,7 @@
 			inherited: c.inheritsListener(),
 			ended:     make(chan struct{}),
 		},
+		streamLog: logLimit{interval: streamLogInterval},
 	}
 	f.acceptor.listener.LimitHeads(framing.HeadLimits{
 		MaxFields: maxHeaderFields,
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -51,6 +51,8 @@
 
 	metrics *proxyMetrics
 	report  loopReport
+	// timeoutLog bounds the log lines about attempts that timed out.
+	timeoutLog logLimit
 }
 
 var _ balancer.Effects = (*loop)(nil)
@@ -66,6 +68,7 @@
 		endpointIDs: newEndpointIDs(),
 		localities:  c.Localities,
 		metrics:     newProxyMetrics(c.Settings.Classes),
+		timeoutLog:  logLimit{interval: streamLogInterval},
 	}
 	l.dialer = newDialer(c, l.metrics.attemptsWritten, l.now)
 	l.pool = &connPool{
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -34,6 +34,7 @@
 	refusedHeads     *metrics.Counter         // requests refused because of their head: too many fields, or no memory for it
 	pacedAnswers     *metrics.Counter         // answers after which a client had to wait before its next request was read
 	conns            connMetrics
+	streams          streamMetrics
 }
 
 // classCounters counts the requests of a class by how they ended. Each request is counted once.
@@ -63,6 +64,7 @@
 	m.knownEndpoints = m.set.Gauge("svc_known_upstreams")
 	m.skippedEndpoints = m.set.Gauge("svc_skipped_upstreams")
 	m.conns = newConnMetrics(&m.set)
+	m.streams = newStreamMetrics(&m.set)
 	return m
 }
 
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -173,10 +173,20 @@
 // expireAttempt ends an attempt that has timed out before the deadline of its request, unless its response has begun.
 func (l *loop) expireAttempt(a *attempt) {
 	if !a.isResponding() {
-		l.endAttempt(a, balancer.Timeout)
+		l.timeOut(a)
 	}
 }
 
+// timeOut ends an attempt because its time, or that of its request, is over.
+func (l *loop) timeOut(a *attempt) {
+	now := l.now()
+	if !a.outcomeDelivered && !a.request.closed && l.timeoutLog.allows(now) {
+		slog.Info("attempt timed out", "request_id", a.request.message.header.Get("X-Request-Id"), "attempt", a.index, "endpoint", a.address,
+			"elapsed", (now - a.sentAt).Round(time.Millisecond), "response_begun", a.begun.Load() != noResponse)
+	}
+	l.endAttempt(a, balancer.Timeout)
+}
+
 // answerRequest sends the response to a request. Later responses to the same request are ignored.
 func (l *loop) answerRequest(r *request, a response) {
 	if r.closed {
--- a/internal/proxy/responsewriter.go
+++ b/internal/proxy/responsewriter.go
@@ -51,7 +51,10 @@
 			upstream.Cancel()
 		}
 	})
+	var readErr error
+	x.countStreamBegin(upstream)
 	defer func() {
+		x.recordStreamEnd(upstream, result, readErr)
 		// If the function could not be stopped, it may still cancel reading from the upstream connection.
 		stopped := stopWatching()
 		var reusable *upstreamConn
@@ -66,20 +69,22 @@
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	x.writer.WriteHeader(resp.status)
-	return x.copyStream(control, resp.body, upstream)
+	result, readErr = x.copyStream(control, resp.body, upstream)
+	return result
 }
 
-// copyStream writes the buffered part of a response and then the rest, each part as soon as the upstream has sent it.
-func (x *exchange) copyStream(control *http.ResponseController, buffered []byte, upstream *responseStream) writeOutcome {
+// copyStream writes the buffered part of a response and then the rest, each part as soon as the upstream has sent it. If the response
+// is truncated, readErr is why.
+func (x *exchange) copyStream(control *http.ResponseController, buffered []byte, upstream *responseStream) (result writeOutcome, readErr error) {
 	buffer := newCopyBuffer(x.frontend.bodyBudget)
 	defer buffer.release()
 	part := buffered
 	for {
 		if _, err := x.writer.Write(part); err != nil {
-			return x.clientGone(err)
+			return x.clientGone(err), nil
 		}
 		if err := control.Flush(); err != nil {
-			return x.clientGone(err)
+			return x.clientGone(err), nil
 		}
 		var err error
 		part, err = buffer.fill(upstream.Read)
@@ -89,13 +94,13 @@
 				connOfRequest(x.httpRequest).EndAfterResponse()
 			}
 			if _, err := x.writer.Write(part); err != nil {
-				return x.clientGone(err)
+				return x.clientGone(err), nil
 			}
-			return delivered
+			return delivered, nil
 		case err != nil && x.httpRequest.Context().Err() != nil:
-			return clientGone
+			return clientGone, nil
 		case err != nil:
-			return truncated
+			return truncated, err
 		}
 	}
 }
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -3,8 +3,6 @@
 import (
 	"container/heap"
 	"time"
-
-	"sprucehill/balancer"
 )
 
 // timer is a pending timer of the event loop. It is the timeout of an attempt, the deadline of a request or, if both are
@@ -109,7 +107,7 @@
 func (l *loop) expireRequest(r *request) {
 	for _, a := range r.attempts {
 		if !a.isResponding() || a.begun.Load() != longResponse {
-			l.endAttempt(a, balancer.Timeout)
+			l.timeOut(a)
 		}
 	}
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -25,9 +25,13 @@
 	conn      *Conn
 	pending   chan readResult // receives the result of a read that was in progress when the stream began; nil: there is none
 	unread    readResult      // what Read has not returned yet of that result
+	atRest    bool            // the upstream rested when the stream began
 	bytesRead int64           // bytes of the body that Read has returned
 }
 
+// BeganAtRest reports whether the upstream rested when the stream began: see BodyOptions.Receiver.
+func (s *Stream) BeganAtRest() bool { return s.atRest }
+
 // ContentLength returns the length of the complete body in bytes, or -1 if it is unknown.
 func (s *Stream) ContentLength() int64 { return s.resp.ContentLength }
 
