Don't restart the time of an upload because this process was held up

Cause: while an upstream reads an upload slowly, the client's time is estimated to run since it has been waiting for the balancer to read. That estimate is given up once there have been no unread bytes for 40 ms, since a client that has room to send and doesn't is still sending. The 40 ms included time in which this process did not run: one look after a hold-up that found the socket just emptied restarted the client's time, so that the final response could be late by the whole time before. Change: time in which nothing was observed does not count as time without unread bytes. Evidence: TestHeldUpProcessDoesNotRestartTheTimeOfAnUpload failed before (waits since 1.11 s after the beginning) and passes.

--- a/internal/proxy/uploadprogress.go
+++ b/internal/proxy/uploadprogress.go
@@ -36,8 +36,9 @@
 	interval     time.Duration // between two samples, at least
 	maxEmptyTime time.Duration
 	// samples are those of the time in which the client has been waiting, the oldest first.
-	samples   []progressSample
-	backlogAt time.Duration // when there were last unread bytes
+	samples    []progressSample
+	backlogAt  time.Duration // when there were last unread bytes, later by the time for which nothing was observed after that
+	observedAt time.Duration // when observe was last called
 }
 
 // newUploadProgress returns the estimate for a client that waits for the given time after the last byte.
@@ -47,8 +48,13 @@
 
 // observe records the state of the connection at the time now.
 func (p *uploadProgress) observe(now time.Duration, b framing.Backlog) {
-	if b.Unread > 0 {
+	unobserved := now - p.observedAt
+	p.observedAt = now
+	switch {
+	case b.Unread > 0:
 		p.backlogAt = now
+	case len(p.samples) > 0 && unobserved > maxEmptyTime: // this process was held up
+		p.backlogAt += unobserved
 	}
 	if now-p.backlogAt > p.maxEmptyTime || b.Missing > clientSendBuffer {
 		p.samples = nil // the client has not sent everything: it is slower than the upstream, or has too much left
