Protect a short response that has begun only while one of unknown length is buffered

Cause: since the repair of the incident a cancellation or timeout left an attempt with a short response (up to 64 KiB by its length) alone until its client's deadline once its head had come. One that rests for ever was then not requested elsewhere, as it was before. One that may be long goes on, as it will be streamed. The log line 'response broken off' takes the endpoint's address from the connection: the field belongs to the event loop. Evidence: read in review; TestAttemptWhoseResponseHasBegunGoesOn states the rule for timeouts, cancellations and the deadline.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -45,6 +45,7 @@
 	finisher         attemptFinisher
 	clientDeadline   time.Duration  // of the request when the attempt was started, on the loop's clock; noDeadline as in deadline
 	begun            atomic.Int32   // a responseBegin
+	begunAt          atomic.Int64   // when it began, a time.Duration on the loop's clock
 	response         *http.Response // used by the attempt's goroutine only: its head has been read
 	result           attemptResult  // used by the attempt's goroutine until it finishes the attempt, then by the loop
 	outcomeDelivered bool           // used by the loop only: the decision module has been given the outcome
@@ -76,9 +77,18 @@
 	return responseTime{deadline: time.Now().Add(deadline - now), clientWait: a.request.clientWait}
 }
 
-// isResponding reports whether a successful response has begun that the request still needs. The loop calls it.
-func (a *attempt) isResponding() bool {
-	return a.begun.Load() != noResponse && !a.request.closed && !a.outcomeDelivered
+// respondsUntil returns until when an attempt must not be given up before the deadline of its request because its response has begun,
+// on the loop's clock. It is noDeadline for a response that may be long, which will be streamed, and zero for an attempt without a
+// successful response that the request still needs. A short response that rests is better requested elsewhere. The loop calls it.
+func (a *attempt) respondsUntil() time.Duration {
+	begun := a.begun.Load()
+	switch {
+	case begun == noResponse || a.request.closed || a.outcomeDelivered:
+		return 0
+	case begun == longResponse:
+		return noDeadline
+	}
+	return time.Duration(a.begunAt.Load()) + timelimit.BufferLongResponse
 }
 
 // drop prevents the attempt from being sent, unless it has been claimed for writing. It reports whether the attempt was
--- a/internal/proxy/begunresponse_test.go
+++ b/internal/proxy/begunresponse_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"sprucehill/balancer"
 	"sprucehill/internal/bodybudget"
 	"sprucehill/internal/discovery"
 	"sprucehill/internal/timelimit"
@@ -225,3 +226,38 @@
 		}
 	}
 }
+
+// A timeout or a cancellation leaves an attempt alone whose response has begun: for good if it may be long, and for the time in which
+// such a one is buffered if it is short. Guards against giving up a response that is arriving.
+func TestAttemptWhoseResponseHasBegunGoesOn(t *testing.T) {
+	for name, x := range map[string]struct {
+		begun              responseBegin
+		endsAtOnce, endsIn bool // by the timeout, and by the time for buffering after it
+	}{
+		"no response":    {noResponse, true, true},
+		"short response": {shortResponse, false, true},
+		"long response":  {longResponse, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, giveUp := range []func(l *loop, a *attempt){
+				func(l *loop, a *attempt) { l.expireAttempt(a) },
+				func(l *loop, a *attempt) { l.postpone(a, balancer.Cancelled); l.deliverOutcomes() },
+			} {
+				l := newTestLoop(t, 2)
+				endpoint := &endpoint{id: 1, inFlight: map[*attempt]struct{}{}}
+				a := &attempt{request: l.addRequest(1), endpoint: endpoint, conn: newUpstreamConn(&deadlineRecorder{})}
+				a.request.undelivered = 1
+				a.stage.Store(attemptClaimed)
+				a.begunAt.Store(int64(l.now()))
+				a.begun.Store(x.begun)
+				giveUp(l, a)
+				assertEqual(t, "ended at once", a.outcomeDelivered, x.endsAtOnce)
+				time.Sleep(timelimit.BufferLongResponse + 10*time.Millisecond)
+				l.fireTimers()
+				assertEqual(t, "ended after the time for buffering", a.outcomeDelivered, x.endsIn)
+				l.expireRequest(a.request)
+				assertEqual(t, "ended at the deadline", a.outcomeDelivered, x.begun != longResponse)
+			}
+		})
+	}
+}
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -79,7 +79,7 @@
 	for len(l.pendingOutcomes) > 0 {
 		outcome := l.pendingOutcomes[0]
 		l.pendingOutcomes = l.pendingOutcomes[1:]
-		if outcome.status == balancer.Cancelled && outcome.attempt.isResponding() {
+		if outcome.status == balancer.Cancelled && l.letRespond(outcome.attempt) {
 			continue
 		}
 		l.endAttempt(outcome.attempt, outcome.status)
@@ -172,11 +172,27 @@
 
 // expireAttempt ends an attempt that has timed out before the deadline of its request, unless its response has begun.
 func (l *loop) expireAttempt(a *attempt) {
-	if !a.isResponding() {
+	if !l.letRespond(a) {
 		l.timeOut(a)
 	}
 }
 
+// letRespond reports whether an attempt that would be given up now goes on because its response has begun. It expires later if that
+// response is short and not complete by then.
+func (l *loop) letRespond(a *attempt) bool {
+	until := a.respondsUntil()
+	if l.now() >= until {
+		return false
+	}
+	if until != noDeadline {
+		if a.timer == nil {
+			a.timer = &attemptTimer{a}
+		}
+		l.setTimer(timer{at: until, attempt: a.timer})
+	}
+	return true
+}
+
 // timeOut ends an attempt because its time, or that of its request, is over.
 func (l *loop) timeOut(a *attempt) {
 	now := l.now()
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -78,10 +78,12 @@
 		return false
 	}
 	begin := beginOf(resp)
+	now := d.now()
+	a.begunAt.Store(int64(now))
 	a.begun.Store(begin)
 	a.response = resp
 	options := upstream.BodyOptions{Budget: d.bodyBudget, Receiver: a}
-	a.responseTime(d.now()).limitBody(&options, begin)
+	a.responseTime(now).limitBody(&options, begin)
 	body, err := a.conn.ReadBody(resp, &options)
 	if errors.Is(err, upstream.ErrHandedOver) {
 		return true
--- a/internal/proxy/streamend.go
+++ b/internal/proxy/streamend.go
@@ -76,6 +76,6 @@
 	if outcome != truncated || !x.frontend.streamLog.allows(x.frontend.now()) {
 		return
 	}
-	slog.Info("response broken off", "request_id", x.httpRequest.Header.Get("X-Request-Id"), "endpoint", stream.endpoint.address,
+	slog.Info("response broken off", "request_id", x.httpRequest.Header.Get("X-Request-Id"), "endpoint", stream.conn.RemoteAddr().String(),
 		"cause", string(end), "length", stream.ContentLength(), "err", readErr)
 }
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -106,7 +106,7 @@
 // forwarded.
 func (l *loop) expireRequest(r *request) {
 	for _, a := range r.attempts {
-		if !a.isResponding() || a.begun.Load() != longResponse {
+		if a.respondsUntil() != noDeadline {
 			l.timeOut(a)
 		}
 	}
