--- a/internal/bodybudget/bodybudget.go
+++ b/internal/bodybudget/bodybudget.go
@@ -2,6 +2,7 @@
 package bodybudget
 
 import (
+	"errors"
 	"io"
 	"sync/atomic"
 )
@@ -43,6 +44,9 @@
 // Available returns how many bytes can be reserved. It is negative while more than the budget is in use: see MinBuffered.
 func (b *Budget) Available() int64 { return b.available.Load() }
 
+// ErrFull means that a buffer has reached its limit, or that the budget is exhausted.
+var ErrFull = errors.New("no room for more of the body")
+
 // Buffer holds the beginning of one body, at most MaxBuffered bytes. It is not safe for concurrent use.
 type Buffer struct {
 	budget *Budget
@@ -69,21 +73,22 @@
 // IsComplete reports whether a body of known length has been buffered completely.
 func (b *Buffer) IsComplete() bool { return int64(len(b.data)) == b.length }
 
-// Lacks reports whether the contents and n more bytes are less than the known length of the body.
-func (b *Buffer) Lacks(n int) bool { return int64(len(b.data)+n) < b.length }
-
-// Room returns where the next bytes of the body may be written, and makes room if there is none. ok is false if the buffer has
-// reached its limit or the budget is exhausted.
-func (b *Buffer) Room() (room []byte, ok bool) {
+// Fill reads the next bytes of the body, once, and returns them; they belong to the contents from then on. It returns ErrFull if there
+// is no room for more, io.EOF at the end of the body, io.ErrUnexpectedEOF if that is before its known length, and otherwise the error of
+// r. Bytes may come with an error.
+func (b *Buffer) Fill(r io.Reader) (part []byte, err error) {
 	if len(b.data) == cap(b.data) && !b.grow() {
-		return nil, false
+		return nil, ErrFull
 	}
-	return b.data[len(b.data):cap(b.data)], true
+	before := len(b.data)
+	n, err := r.Read(b.data[before:cap(b.data)])
+	b.data = b.data[:before+n]
+	if err == io.EOF && int64(len(b.data)) < b.length {
+		err = io.ErrUnexpectedEOF
+	}
+	return b.data[before:], err
 }
 
-// Commit adds the first n bytes that have been written to the last result of Room to the contents.
-func (b *Buffer) Commit(n int) { b.data = b.data[:len(b.data)+n] }
-
 // grow copies the contents into a slice with more capacity. It returns false if there is none.
 func (b *Buffer) grow() bool {
 	capacity := min(b.limit, growthFactor*cap(b.data))
@@ -101,17 +106,12 @@
 func (b *Budget) ReadBody(r io.Reader, length int64) (body []byte, complete bool, err error) {
 	buffer := b.NewBuffer(length)
 	for !buffer.IsComplete() {
-		room, ok := buffer.Room()
-		if !ok {
-			return buffer.Contents(), false, nil
-		}
-		n, err := r.Read(room)
-		buffer.Commit(n)
+		_, err := buffer.Fill(r)
 		switch {
-		case err == io.EOF && buffer.Lacks(0):
-			return buffer.Contents(), false, io.ErrUnexpectedEOF
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return buffer.Contents(), true, nil
+		case errors.Is(err, ErrFull):
+			return buffer.Contents(), false, nil
 		case err != nil:
 			return buffer.Contents(), false, err
 		}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -43,7 +43,6 @@
 	onBodyWritten    func()        // uploads only: called when the last byte has been written
 	conn             *upstreamConn // the loop may use it only once the attempt is claimed
 	finisher         attemptFinisher
-	clientDeadline   time.Duration  // of the request when the attempt was started, on the loop's clock; noDeadline as in deadline
 	begun            atomic.Int32   // a responseBegin
 	begunAt          atomic.Int64   // when it began, a time.Duration on the loop's clock
 	response         *http.Response // used by the attempt's goroutine only: its head has been read
@@ -51,7 +50,7 @@
 	outcomeDelivered bool           // used by the loop only: the decision module has been given the outcome
 }
 
-// attemptFinisher is told once that the result of an attempt is known. It may be called from any goroutine.
+// attemptFinisher is notified once when the result of an attempt is known. It may be called from any goroutine.
 type attemptFinisher interface {
 	finishAttempt(a *attempt)
 }
@@ -67,14 +66,13 @@
 	return remaining
 }
 
-// responseTime returns the time for the response, given the time now on the loop's clock. The last byte of an upload must have been
-// written.
-func (a *attempt) responseTime(now time.Duration) responseTime {
-	deadline := a.clientDeadline
+// clientDeadline returns when the client stops waiting, on the loop's clock. The last byte of an upload must have been written. The
+// attempt's goroutine may call it: the deadline of a request that is not an upload doesn't change.
+func (a *attempt) clientDeadline() time.Duration {
 	if a.request.upload != nil {
-		deadline = min(deadline, a.request.upload.knownDeadline())
+		return a.request.upload.knownDeadline()
 	}
-	return responseTime{deadline: time.Now().Add(deadline - now), clientWait: a.request.clientWait}
+	return a.request.deadline
 }
 
 // respondsUntil returns until when an attempt must not be given up before the deadline of its request because its response has begun,
--- a/internal/proxy/dialer.go
+++ b/internal/proxy/dialer.go
@@ -85,24 +85,23 @@
 // afterPartialWrite sets the result of an attempt whose last byte was certainly not written, so that the upstream can't
 // have executed it, given the error of the write.
 func (d dialer) afterPartialWrite(a *attempt, err error) {
-	a.result.status = balancer.ConnectFailed
+	defer a.conn.Close()
 	if errors.Is(err, errClientBody) {
 		a.result.status = balancer.NotSent
 		a.result.bodyConsumed = true
+		return
 	}
-	if errors.Is(err, errClientBody) || a.message.rest == nil {
-		a.conn.Close()
+	a.result.status = balancer.ConnectFailed
+	if a.message.rest == nil {
 		return
 	}
 	// The upstream may have sent a response that says why it stopped reading the upload.
 	a.conn.SetReadDeadline(time.Now().Add(d.timeout))
 	if a.abandoned.Load() { // checked after SetReadDeadline, which may have replaced the expired deadline set by abandon
-		a.conn.Close()
 		return
 	}
 	var r attemptResult
 	d.readShortResponse(a.conn, &r)
-	a.conn.Close()
 	if r.status == balancer.Rejected {
 		a.result.status = r.status
 		a.result.load = r.load
--- a/internal/proxy/dialer_test.go
+++ b/internal/proxy/dialer_test.go
@@ -27,7 +27,9 @@
 	}
 	m.header.Set("X-Request-Id", "direct")
 	clientDeadlines.add("direct", time.Second)
-	return &attempt{request: &request{client: waitingClient{}}, message: m, endpoint: &endpoint{}, address: address, conn: c, deadline: time.Hour + time.Second, clientDeadline: time.Hour + time.Second}
+	const deadline = time.Hour + time.Second
+	r := &request{client: waitingClient{}, deadline: deadline}
+	return &attempt{request: r, message: m, endpoint: &endpoint{}, address: address, conn: c, deadline: deadline}
 }
 
 // runDirect runs an attempt whose response is not handed over while it is read.
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -44,8 +44,6 @@
 		address:  endpoint.address,
 		deadline: r.deadline,
 		finisher: l,
-
-		clientDeadline: r.deadline,
 	}
 	r.attempts = append(r.attempts, a)
 	r.undelivered++
--- a/internal/proxy/loglimit.go
+++ b/internal/proxy/loglimit.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// logLimit bounds how often a log line is written. It is safe for concurrent use. Its zero value permits the first line once interval
-// has passed on the caller's clock.
+// logLimit bounds how often a log line is written. The first line is permitted once interval has passed on the caller's clock. It is safe
+// for concurrent use.
 type logLimit struct {
 	interval time.Duration // the least time between two lines
 	loggedAt atomic.Int64  // when the last line was permitted, a time.Duration on the caller's clock
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -29,12 +29,6 @@
 	longResponse
 )
 
-// responseTime is the time that is left for a response.
-type responseTime struct {
-	deadline   time.Time     // of the client
-	clientWait time.Duration // how long the client says that it waits
-}
-
 // beginOf returns how far a response has begun of which the head has been read.
 func beginOf(resp *http.Response) responseBegin {
 	switch {
@@ -48,22 +42,23 @@
 
 // limitBody sets the limits of time for reading a response that has begun now. A response that may be long is forwarded by the
 // deadline of its client; one that is known to be short is complete by then, or has failed.
-func (t responseTime) limitBody(o *upstream.BodyOptions, begin responseBegin) {
-	now := time.Now()
-	o.MaxRest = timelimit.UpstreamRest(t.clientWait)
+func (a *attempt) limitBody(o *upstream.BodyOptions, begin responseBegin, now time.Duration) {
+	began := time.Now()
+	deadline := began.Add(a.clientDeadline() - now)
+	o.MaxRest = timelimit.UpstreamRest(a.request.clientWait)
+	o.BufferUntil = began.Add(timelimit.BufferLongResponse)
 	switch begin {
 	case longResponse:
-		o.BufferUntil = now.Add(timelimit.BufferLongResponse)
-		if t.deadline.Before(o.BufferUntil) {
-			o.BufferUntil = t.deadline
+		if deadline.Before(o.BufferUntil) {
+			o.BufferUntil = deadline
 		}
 	case shortResponse:
-		o.StreamUntil = t.deadline
-		if until := now.Add(timelimit.BufferShortResponse); until.Before(t.deadline) {
-			o.BufferUntil = until
+		o.StreamUntil = deadline
+		o.BufferUntil = began.Add(timelimit.BufferShortResponse)
+		if !o.BufferUntil.Before(deadline) {
+			o.BufferUntil = time.Time{}
 		}
 	default: // only its status matters
-		o.BufferUntil = now.Add(timelimit.BufferLongResponse)
 		o.Receiver = nil
 	}
 }
@@ -83,7 +78,7 @@
 	a.begun.Store(begin)
 	a.response = resp
 	options := upstream.BodyOptions{Budget: d.bodyBudget, Receiver: a}
-	a.responseTime(now).limitBody(&options, begin)
+	a.limitBody(&options, begin, now)
 	body, err := a.conn.ReadBody(resp, &options)
 	if errors.Is(err, upstream.ErrHandedOver) {
 		return true
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -88,26 +88,23 @@
 	c.read = bodyRead{resp: resp, buffer: o.Budget.NewBuffer(resp.ContentLength), receiver: o.Receiver}
 	buffer := &c.read.buffer
 	for !buffer.IsComplete() {
-		room, ok := buffer.Room()
-		if !ok {
-			return c.streamed(), nil
-		}
-		n, err := resp.Body.Read(room)
-		if err == io.EOF && (buffer.Lacks(n) || c.limit.remaining <= 0) { // at the limit, it ended the body, not the upstream
+		part, err := buffer.Fill(resp.Body)
+		if errors.Is(err, io.EOF) && c.limit.remaining <= 0 { // the limit ended the body, not the upstream
 			err = io.ErrUnexpectedEOF
 		}
 		if stream := c.read.stream; stream != nil {
 			c.read = bodyRead{}
-			stream.pending <- readResult{room[:n], err} // from here on the connection belongs to the stream's reader
+			stream.pending <- readResult{part, err} // from here on the connection belongs to the stream's reader
 			return Body{}, ErrHandedOver
 		}
-		buffer.Commit(n)
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return c.complete(), nil
+		case errors.Is(err, bodybudget.ErrFull):
+			return c.streamed(), nil
 		case err != nil:
 			return Body{Buffered: c.takeBuffered()}, err
-		case n > 0 && !buffer.IsComplete() && c.isBufferingOver():
+		case len(part) > 0 && !buffer.IsComplete() && c.isBufferingOver():
 			return c.streamed(), nil
 		}
 	}
