Release the response to an upload that was broken off

Cause: an upstream that responds with 200 and breaks an upload off before it has read the body has its response read, for its status. Its body, up to 64 KiB, stayed reserved in the body budget for ever. Change: it is released.

--- a/internal/proxy/dialer.go
+++ b/internal/proxy/dialer.go
@@ -102,6 +102,7 @@
 	}
 	var r attemptResult
 	d.readShortResponse(a.conn, &r)
+	d.bodyBudget.Release(cap(r.body)) // it is not forwarded
 	if r.status == balancer.Rejected {
 		a.result.status = r.status
 		a.result.load = r.load
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -150,3 +150,36 @@
 	}
 	assertEqual(t, "attempts at the upstream", len(upstream.arrivals), 3)
 }
+
+// An upload whose upstream responds and breaks off before it has read the body leaves nothing reserved in the body budget. Guards
+// against the body of that response, which is not forwarded.
+func TestResponseToABrokenOffUploadIsReleased(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				writeOK(c, "early")
+				time.Sleep(50 * time.Millisecond) // the response has arrived
+			}
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	b := newBalancer(t, activeMember("s-00000001", &testUpstream{addr: l.Addr().String()}))
+	for range 3 {
+		r := b.newRequest("checkin", "")
+		r.Body, r.ContentLength = io.NopCloser(patternReader(longBody)), longBody
+		if resp, err := b.client.Do(r); err == nil {
+			resp.Body.Close()
+		}
+	}
+	b.awaitSettled(t)
+}
