--- a/cmd/balancer/begunresponse_test.go
+++ b/cmd/balancer/begunresponse_test.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,21 +38,14 @@
 	}
 	defer conn.Close()
 	time.Sleep(slowResponseStart)
-	head, end, chunks := "", "", 1
+	head, body := "Connection: close", strings.Repeat("b", slowResponseBytes)
 	switch r.URL.Query().Get("form") {
 	case "length":
 		head = "Content-Length: " + strconv.Itoa(slowResponseBytes)
 	case "chunks":
-		head, end, chunks = "Transfer-Encoding: chunked", "0\r\n\r\n", 2*slowResponsePieces
+		head, body = "Transfer-Encoding: chunked", inChunks(body, 2*slowResponsePieces)
 	case "one chunk":
-		head, end = "Transfer-Encoding: chunked", "0\r\n\r\n"
-	default:
-		head, chunks = "Connection: close", 0
-	}
-	body := strings.Repeat("b", slowResponseBytes)
-	if chunks > 0 && end != "" {
-		chunk := fmt.Sprintf("%x\r\n%s\r\n", slowResponseBytes/chunks, body[:slowResponseBytes/chunks])
-		body = strings.Repeat(chunk, chunks) + end
+		head, body = "Transfer-Encoding: chunked", inChunks(body, 1)
 	}
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"\r\n\r\n"); err != nil {
 		return
@@ -67,31 +58,21 @@
 	}
 }
 
+// inChunks returns a body of equal bytes in a number of equal chunks.
+func inChunks(body string, count int) string {
+	size := len(body) / count
+	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", size, body[:size]), count) + "0\r\n\r\n"
+}
+
 // receiveSlowResponse sends a request and checks that its response begins in time and is complete.
 func receiveSlowResponse(ctx context.Context, address string, r hostile.Request) error {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
+	response := hostile.Exchange(ctx, address, r, processTimeout)
+	if response.Err != nil || response.Status != http.StatusOK || response.BodyLength != slowResponseBytes {
+		return errors.Join(fmt.Errorf("status %d with %d of %d bytes after %v",
+			response.Status, response.BodyLength, slowResponseBytes, response.Elapsed), response.Err)
 	}
-	defer c.Close()
-	if _, err := c.Write(r.Bytes()); err != nil {
-		return err
-	}
-	sent := time.Now()
-	if err := c.SetReadDeadline(sent.Add(processTimeout)); err != nil {
-		return err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return fmt.Errorf("no response: %w", err)
-	}
-	defer resp.Body.Close()
-	if took := time.Since(sent); took > r.Deadline+responseGrace {
-		return fmt.Errorf("status %d after %v, the client waits %v", resp.StatusCode, took, r.Deadline)
-	}
-	n, err := io.Copy(io.Discard, resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK || n != slowResponseBytes {
-		return errors.Join(fmt.Errorf("status %d with %d of %d bytes %v after the request", resp.StatusCode, n, slowResponseBytes, time.Since(sent)), err)
+	if response.Begun > r.Deadline+responseGrace {
+		return fmt.Errorf("began after %v, the client waits %v", response.Begun, r.Deadline)
 	}
 	return nil
 }
@@ -139,40 +120,26 @@
 }
 
 // A long response that is being written slowly reaches its client whole although a successor takes the listener over and this process
-// is told to end.
+// gets SIGTERM.
 func TestSlowlyWrittenLongResponseSurvivesAnUpgrade(t *testing.T) {
 	discovery := startHostileUpstreams(t, 24, nil, writeSlowly)
-	listener, err := net.Listen("tcp", freeAddress(t))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	file, err := listener.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	address := listener.Addr().String()
-	start := func() *process {
-		p := startConfigured(t, balancerCommand(t), hostileTemplate, address, discovery, file)
-		t.Cleanup(func() { p.killAndLog(t) })
-		return p
+	address, listener := openSharedListener(t)
+	old := startHostileProcess(t, address, discovery, listener)
+	receive := func(form string) error {
+		r := hostile.Request{Class: "read", ID: newRequestID(), Deadline: slowResponseWait, Query: "form=" + form}
+		return receiveSlowResponse(t.Context(), address, r)
 	}
-	old := start()
-	waitFor(t, "the endpoint list", func() bool {
-		return receiveSlowResponse(t.Context(), address, hostile.Request{Class: "read", ID: newRequestID(), Deadline: slowResponseWait, Query: "form=length"}) == nil
-	})
+	waitFor(t, "the endpoint list", func() bool { return receive("length") == nil })
 	var clients sync.WaitGroup
 	for _, form := range []string{"length", "chunks", "one+chunk", "close"} {
 		clients.Go(func() {
-			r := hostile.Request{Class: "read", ID: newRequestID(), Deadline: slowResponseWait, Query: "form=" + form}
-			if err := receiveSlowResponse(t.Context(), address, r); err != nil {
+			if err := receive(form); err != nil {
 				t.Errorf("%s: %v", form, err)
 			}
 		})
 	}
 	time.Sleep(slowResponseStart / 2)
-	start()
+	startHostileProcess(t, address, discovery, listener)
 	old.signal(t, syscall.SIGTERM)
 	clients.Wait()
 }
--- a/internal/lab/hostile/client.go
+++ b/internal/lab/hostile/client.go
@@ -44,6 +44,7 @@
 type Response struct {
 	Status     int           // 0 if the connection ended without an answer
 	BodyLength int64         // bytes of the body
+	Begun      time.Duration // from the call to the end of the head; 0 if there was none
 	Elapsed    time.Duration // from the call to the last byte
 	Err        error         // why the answer is incomplete; nil: it is complete
 }
@@ -56,8 +57,9 @@
 	if err != nil {
 		return Response{Elapsed: time.Since(began), Err: err}
 	}
+	begun := time.Since(began)
 	n, err := io.Copy(io.Discard, answer.Body)
-	return Response{Status: answer.StatusCode, BodyLength: n, Elapsed: time.Since(began), Err: err}
+	return Response{Status: answer.StatusCode, BodyLength: n, Begun: begun, Elapsed: time.Since(began), Err: err}
 }
 
 // Exchange sends a request on a new connection and reads its answer, for at most the given time.
--- a/internal/proxy/begunresponse_test.go
+++ b/internal/proxy/begunresponse_test.go
@@ -70,6 +70,26 @@
 	return false
 }
 
+// assertForwarded sends a request, and fails the test unless a successful response begins within the given time and has a body of the
+// given size.
+func (b *testBalancer) assertForwarded(t *testing.T, r *http.Request, size int, longest time.Duration) {
+	t.Helper()
+	began := time.Now()
+	resp, err := b.client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	assertEqual(t, "status", resp.StatusCode, http.StatusOK)
+	if took := time.Since(began); took > longest {
+		t.Errorf("the response began after %v, want %v at most", took, longest)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil || n != int64(size) {
+		t.Errorf("got %d bytes and %v, want %d", n, err, size)
+	}
+}
+
 // A long response whose upstream has begun it in time reaches its client whole, although the upstream rests at the deadline. Guards
 // against a deadline that replaces a response that has begun by an error.
 func TestLongResponseThatRestsAtTheDeadlineIsForwarded(t *testing.T) {
@@ -89,20 +109,7 @@
 				request := b.newRequest(class, "", "X-Form", form, "X-Rest", point.name, "X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 				t.Run(class+", "+form+", "+point.name, func(t *testing.T) {
 					t.Parallel()
-					began := time.Now()
-					resp, err := b.client.Do(request)
-					if err != nil {
-						t.Fatal(err)
-					}
-					defer resp.Body.Close()
-					assertEqual(t, "status", resp.StatusCode, http.StatusOK)
-					if took := time.Since(began); took > wait+answerTolerance {
-						t.Errorf("the response began after %v, its client waits %v", took, wait)
-					}
-					n, err := io.Copy(io.Discard, resp.Body)
-					if err != nil || n != size {
-						t.Errorf("got %d bytes and %v, want %d", n, err, size)
-					}
+					b.assertForwarded(t, request, size, wait+answerTolerance)
 				})
 			}
 		}
@@ -128,19 +135,7 @@
 				request := b.newRequest("checkin", "", "X-Form", form, "X-Rest", point.name, "X-Size", strconv.Itoa(size))
 				t.Run(fmt.Sprintf("%d bytes, %s, %s", size, form, point.name), func(t *testing.T) {
 					t.Parallel()
-					began := time.Now()
-					resp, err := b.client.Do(request)
-					if err != nil {
-						t.Fatal(err)
-					}
-					defer resp.Body.Close()
-					if took := time.Since(began); took > longest {
-						t.Errorf("the response began after %v, want %v at most", took, longest)
-					}
-					n, err := io.Copy(io.Discard, resp.Body)
-					if err != nil || n != int64(size) {
-						t.Errorf("got %d bytes and %v, want %d", n, err, size)
-					}
+					b.assertForwarded(t, request, size, longest)
 				})
 			}
 		}
